--- a/packages/core/bilberryridge/core/documents.py
+++ b/packages/core/bilberryridge/core/documents.py
@@ -62,6 +62,8 @@
         Tokens generated a second with all slots busy; 0 for a plain service.
     checks_fencing : bool
         Whether the server refuses an order with an old fencing number.
+    is_draining : bool
+        Whether operators take it out: no new work, what is open is finished.
     """
 
     name: str
@@ -75,6 +77,7 @@
     n_slots: int = 16
     tokens_per_s: float = 0.0
     checks_fencing: bool = False
+    is_draining: bool = False
 
 
 @attrs.frozen
--- a/packages/core/bilberryridge/core/messages.py
+++ b/packages/core/bilberryridge/core/messages.py
@@ -6,7 +6,7 @@
 
 See Also
 --------
-bilberryridge.transport.codec : turns them into bytes and back.
+bilberryridge.peers.codec : turns them into bytes and back.
 """
 
 import attrs
--- a/packages/decisions/bilberryridge/decisions/effects.py
+++ b/packages/decisions/bilberryridge/decisions/effects.py
@@ -121,9 +121,18 @@
 
 @attrs.frozen
 class SendPeer:
-    """Send a control message to another daemon; lost when it can't be reached."""
+    """Send a control message to another daemon; lost when it can't be reached.
+
+    Parameters
+    ----------
+    vm : str
+    revision : int
+        Configuration revision of this daemon, for the frame.
+    body : Message
+    """
 
     vm: str
+    revision: int
     body: messages.Message
 
 
--- /dev/null
+++ b/packages/peers/bilberryridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Control messages between the daemons."""
