--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/admission.py
@@ -0,0 +1,200 @@
+"""Who waits, who goes next and who is refused at once, at one daemon.
+
+Each service has two classes, quick before long, with a floor for the long one. Within a
+class, start-time fair queueing shares what the daemon can place among organisations by
+weight; whoever is idle leaves its share to the others. No daemon asks another.
+
+References
+----------
+P. Goyal, H. Vin and H. Cheng, "Start-Time Fair Queueing", IEEE/ACM Transactions on
+Networking 5 (5), 1997.
+"""
+
+import collections
+import heapq
+import random
+
+import attrs
+
+from bilberryridge.core import outcomes, requests
+from bilberryridge.decisions import fair_queue
+
+MAX_QUEUED = 2000
+MAX_QUEUED_PER_ORGANISATION = 100
+MAX_TAKEN = 256
+LONGEST_QUICK_WAIT_S = 5.0
+LONGEST_LONG_WAIT_S = 60.0
+SHORTEST_RETRY_AFTER_S = 0.5
+LONGEST_RETRY_AFTER_S = 30.0
+RETRY_JITTER = 0.5
+
+
+Waiting = fair_queue.Waiting
+
+
+@attrs.frozen
+class Queued:
+    """The request waits; those in `displaced` no longer do and are to be refused."""
+
+    displaced: tuple[Waiting, ...] = ()
+
+
+@attrs.frozen
+class Refused:
+    """The request is refused at once.
+
+    Parameters
+    ----------
+    reason : outcomes.Reason
+    retry_after_s : float
+        Jittered.
+    detail : str
+    """
+
+    reason: outcomes.Reason
+    retry_after_s: float
+    detail: str
+
+
+class Admission:
+    """The queues of one daemon.
+
+    Parameters
+    ----------
+    random_state : random.Random
+        Jitters the times to come back.
+    max_queued, max_queued_per_organisation : int
+        Bounds over all services.
+    """
+
+    def __init__(
+        self,
+        random_state: random.Random,
+        max_queued: int = MAX_QUEUED,
+        max_queued_per_organisation: int = MAX_QUEUED_PER_ORGANISATION,
+    ):
+        self._random_state = random_state
+        self._max_queued = max_queued
+        self._max_queued_per_organisation = max_queued_per_organisation
+        self._queues: dict[str, fair_queue.ServiceQueue] = {}
+        self._entries: dict[str, fair_queue.Entry] = {}
+        self._n_by_organisation: collections.Counter[str] = collections.Counter()
+        self._deadlines: list[tuple[float, str]] = []
+        self._taken: collections.OrderedDict[str, fair_queue.Entry]
+        self._taken = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def offer(self, now_s: float, item: Waiting) -> Queued | Refused:
+        """Queue a request, or refuse it at once."""
+        queue = self._queue(item.service)
+        wait_s = queue.expected_wait_s(
+            now_s, item.organisation, item.weight, item.priority
+        )
+        n_own = self._n_by_organisation.get(item.organisation, 0)
+        if n_own >= self._max_queued_per_organisation:
+            return self._refused(
+                outcomes.Reason.OVER_SHARE, wait_s, "the organisation's queue is full"
+            )
+        if wait_s > self._longest_wait_s(now_s, item):
+            reason = outcomes.Reason.NO_CAPACITY
+            if queue.is_over_share(now_s, item.organisation, item.weight):
+                reason = outcomes.Reason.OVER_SHARE
+            return self._refused(reason, wait_s, f"would wait {wait_s:.1f} s")
+        displaced: tuple[Waiting, ...] = ()
+        if len(self._entries) >= self._max_queued:
+            last = max(self._queues.values(), key=len).last()
+            if last is None or last.tag <= queue.tag_for(item):
+                return self._refused(
+                    outcomes.Reason.NO_CAPACITY, wait_s, "all queues are full"
+                )
+            displaced = (last.item,)
+            self.remove(last.item.request_id)
+        self._add(queue.add(now_s, item))
+        heapq.heappush(self._deadlines, (item.deadline_s, item.request_id))
+        return Queued(displaced)
+
+    def take(self, now_s: float, service: str) -> Waiting | None:
+        """Take the next request of a service; `put_back` what could not be placed."""
+        queue = self._queues.get(service)
+        entry = None if queue is None else queue.take(now_s)
+        if entry is None:
+            return None
+        self._drop(entry.item)
+        self._taken[entry.item.request_id] = entry
+        if len(self._taken) > MAX_TAKEN:
+            self._taken.popitem(last=False)
+        return entry.item
+
+    def put_back(self, item: Waiting) -> None:
+        """Return a request that was taken to where it stood."""
+        entry = self._taken.pop(item.request_id, None)
+        queue = self._queue(item.service)
+        if entry is None:
+            entry = queue.entry_in_front(item)
+        queue.put_back(entry)
+        self._add(entry)
+
+    def expire(self, now_s: float) -> list[Waiting]:
+        """Remove and return the requests whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, request_id = heapq.heappop(self._deadlines)
+            entry = self._entries.get(request_id)
+            if entry is not None and entry.item.deadline_s <= now_s:
+                expired.append(entry.item)
+                self.remove(request_id)
+        return expired
+
+    def remove(self, request_id: str) -> None:
+        """Remove a request whose caller has left."""
+        self._taken.pop(request_id, None)
+        entry = self._entries.get(request_id)
+        if entry is not None:
+            self._drop(entry.item)
+            self._queues[entry.item.service].remove(entry)
+        if len(self._deadlines) > 2 * len(self._entries) + MAX_TAKEN:
+            self._deadlines = [
+                (entry.item.deadline_s, name) for name, entry in self._entries.items()
+            ]
+            heapq.heapify(self._deadlines)
+
+    def services(self) -> list[str]:
+        """The services with a request waiting."""
+        return [name for name, queue in self._queues.items() if len(queue)]
+
+    def expected_wait_s(self, now_s: float, service: str) -> float:
+        """How long a request of an organisation within its share would wait now."""
+        queue = self._queues.get(service)
+        return 0.0 if queue is None else queue.expected_wait_s(now_s, "", 1.0)
+
+    def is_over_share(
+        self, now_s: float, service: str, organisation: str, weight: float
+    ) -> bool:
+        """Whether the organisation lately had more than its share while others ask."""
+        queue = self._queues.get(service)
+        return queue is not None and queue.is_over_share(now_s, organisation, weight)
+
+    def _queue(self, service: str) -> fair_queue.ServiceQueue:
+        return self._queues.setdefault(service, fair_queue.ServiceQueue())
+
+    def _add(self, entry: fair_queue.Entry) -> None:
+        self._entries[entry.item.request_id] = entry
+        self._n_by_organisation[entry.item.organisation] += 1
+
+    def _drop(self, item: Waiting) -> None:
+        del self._entries[item.request_id]
+        self._n_by_organisation[item.organisation] -= 1
+        if not self._n_by_organisation[item.organisation]:
+            del self._n_by_organisation[item.organisation]
+
+    def _longest_wait_s(self, now_s: float, item: Waiting) -> float:
+        is_quick = item.priority is requests.Priority.QUICK
+        longest_s = LONGEST_QUICK_WAIT_S if is_quick else LONGEST_LONG_WAIT_S
+        return min(longest_s, item.deadline_s - now_s - item.cost)
+
+    def _refused(self, reason: outcomes.Reason, wait_s: float, detail: str) -> Refused:
+        after_s = min(max(wait_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
+        after_s *= self._random_state.uniform(1.0, 1.0 + RETRY_JITTER)
+        return Refused(reason, after_s, detail)
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/entry_ranking.py
@@ -0,0 +1,137 @@
+"""Which entry VMs an organisation's callers are told to use.
+
+Rendezvous hashing gives each organisation a small, steady set in its home domain, so
+that limits, prefix caches and the effects of a failure stay local. VMs of other allowed
+domains stand behind them.
+
+References
+----------
+D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
+IEEE/ACM Transactions on Networking 6 (1), 1998.
+"""
+
+import hashlib
+import math
+import random
+from collections.abc import Collection, Sequence
+
+import attrs
+
+from bilberryridge.core import documents
+
+N_HOME = 2
+LIFETIME_S = 20.0
+LIFETIME_JITTER = 0.25
+LOADED_RATIO = 1.5
+OVERLOADED_RATIO = 3.0
+LOADED_WEIGHT = 0.5
+OVERLOADED_WEIGHT = 0.1
+MIN_OPEN_TO_WEIGH = 16
+
+
+@attrs.frozen
+class RankedVm:
+    """An entry VM with what is known of it.
+
+    Parameters
+    ----------
+    vm : documents.Vm
+    domain, region : str
+    is_live : bool
+        Whether it takes new callers: reachable and not leaving.
+    n_open : int
+        Requests open there.
+    """
+
+    vm: documents.Vm
+    domain: str
+    region: str
+    is_live: bool
+    n_open: int = 0
+
+
+def rank(
+    organisation: str,
+    entry_vms: Sequence[RankedVm],
+    home_domain: str,
+    home_region: str,
+    allowed_regions: Collection[str],
+    n: int,
+    random_state: random.Random,
+) -> tuple[RankedVm, ...]:
+    """Order the entry VMs for a caller, the best first.
+
+    Parameters
+    ----------
+    home_domain : str
+        Empty to take one of the home region's domains by the organisation's name.
+    allowed_regions : collection of str
+        Regions where the organisation's data may be processed; empty for all.
+    n : int
+        Most VMs in the answer.
+    random_state : random.Random
+        Spreads the organisation's callers over its home set.
+    """
+    usable = [
+        item
+        for item in entry_vms
+        if item.is_live and (not allowed_regions or item.region in allowed_regions)
+    ]
+    home_domain = home_domain or _home_domain(organisation, usable, home_region)
+    mean_open = sum(item.n_open for item in usable) / max(len(usable), 1)
+    by_score = sorted(
+        usable, key=lambda item: _score(organisation, item, mean_open), reverse=True
+    )
+    home = [item for item in by_score if item.domain == home_domain][:N_HOME]
+    random_state.shuffle(home)
+    rest = [item for item in by_score if item not in home]
+    rest.sort(key=lambda item: _tier(item, home_domain, home_region))
+    return tuple((home + _spread(rest))[:n])
+
+
+def lifetime_s(random_state: random.Random) -> float:
+    """How long an answer holds, jittered so that callers do not move together."""
+    return LIFETIME_S * random_state.uniform(1 - LIFETIME_JITTER, 1 + LIFETIME_JITTER)
+
+
+def uniform_hash(*parts: str) -> float:
+    """A number in (0, 1) that depends on the parts alone."""
+    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=7).digest()
+    return (int.from_bytes(digest, "big") + 0.5) / 2.0**56
+
+
+def _home_domain(organisation: str, usable: list[RankedVm], home_region: str) -> str:
+    domains = {item.domain for item in usable if item.region == home_region}
+    return max(domains, key=lambda name: uniform_hash(organisation, name), default="")
+
+
+def _score(organisation: str, item: RankedVm, mean_open: float) -> float:
+    return -_weight(item, mean_open) / math.log(
+        uniform_hash(organisation, item.vm.name)
+    )
+
+
+def _weight(item: RankedVm, mean_open: float) -> float:
+    # Steps, as a weight that follows each change of load would move the sets all the
+    # time.
+    n_usual = max(mean_open, MIN_OPEN_TO_WEIGH)
+    if item.n_open > OVERLOADED_RATIO * n_usual:
+        return OVERLOADED_WEIGHT
+    if item.n_open > LOADED_RATIO * n_usual:
+        return LOADED_WEIGHT
+    return 1.0
+
+
+def _tier(item: RankedVm, home_domain: str, home_region: str) -> int:
+    if item.domain == home_domain:
+        return 0
+    return 1 if item.region == home_region else 2
+
+
+def _spread(items: list[RankedVm]) -> list[RankedVm]:
+    # One VM of each domain first: a lost domain takes one alternative, not all.
+    first: dict[str, RankedVm] = {}
+    for item in items:
+        first.setdefault(item.domain, item)
+    heads = list(first.values())
+    return heads + [item for item in items if item not in heads]
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/health.py
@@ -0,0 +1,108 @@
+"""Whether a server does its work: failures, slow first bytes, and its return.
+
+A failing server is left out for a while that doubles with each time it fails again. One
+that returns gets its load step by step, as its caches are cold.
+"""
+
+import random
+
+import attrs
+
+MAX_BAD_IN_A_ROW = 3
+MAX_BAD_SHARE = 0.5
+BAD_SHARE_WEIGHT = 0.15
+MIN_ENDED_FOR_SHARE = 8
+FIRST_EJECTION_S = 2.0
+LONGEST_EJECTION_S = 60.0
+FORGIVEN_AFTER_S = 120.0
+EJECTION_JITTER = 0.3
+RAMP_S = 10.0
+RAMP_START = 0.1
+WAIT_WEIGHT = 0.2
+WAIT_HALF_LIFE_S = 10.0
+MIN_WAITS = 3
+
+
+@attrs.define
+class Health:
+    """What this daemon's own traffic shows of one server."""
+
+    n_bad_in_a_row: int = 0
+    bad_share: float = 0.0
+    n_ended: int = 0
+    ejected_until_s: float = 0.0
+    n_ejections: int = 0
+    ramp_from_s: float | None = None
+    wait_s: float = 0.0
+    n_waits: int = 0
+    waited_at_s: float = 0.0
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Whether the server gets no new work now."""
+        return now_s < self.ejected_until_s
+
+    def note_end(self, now_s: float, is_good: bool) -> bool:
+        """Note how a request ended; return whether the server is to be ejected."""
+        self.n_ended += 1
+        self.bad_share += BAD_SHARE_WEIGHT * ((not is_good) - self.bad_share)
+        if is_good:
+            self.n_bad_in_a_row = 0
+            return False
+        self.n_bad_in_a_row += 1
+        if self.is_ejected(now_s):
+            return False
+        is_on_trial = self.ramp_share(now_s) < 1.0 and self.n_ejections > 0
+        is_often_bad = (
+            self.n_ended >= MIN_ENDED_FOR_SHARE and self.bad_share > MAX_BAD_SHARE
+        )
+        return is_on_trial or is_often_bad or self.n_bad_in_a_row >= MAX_BAD_IN_A_ROW
+
+    def eject(self, now_s: float, random_state: random.Random) -> None:
+        """Leave the server out for a jittered while, twice as long each time."""
+        if now_s - self.ejected_until_s > FORGIVEN_AFTER_S:
+            self.n_ejections = 0
+        holds_s = min(FIRST_EJECTION_S * 2.0**self.n_ejections, LONGEST_EJECTION_S)
+        holds_s *= random_state.uniform(1.0 - EJECTION_JITTER, 1.0 + EJECTION_JITTER)
+        self.n_ejections += 1
+        self.n_bad_in_a_row = 0
+        self.n_ended = 0
+        self.bad_share = 0.0
+        self.ejected_until_s = now_s + holds_s
+        self.ramp_from_s = self.ejected_until_s
+
+    def note_return(self, now_s: float) -> None:
+        """Ramp the load up from now, as after a restart."""
+        self.ramp_from_s = now_s
+        self.ejected_until_s = min(self.ejected_until_s, now_s)
+        self.n_waits = 0
+
+    def ramp_share(self, now_s: float) -> float:
+        """The share of its slots that the server gets now.
+
+        Examples
+        --------
+        >>> Health(ramp_from_s=0.0).ramp_share(5.0)
+        0.5
+        """
+        if self.ramp_from_s is None:
+            return 1.0
+        share = (now_s - self.ramp_from_s) / RAMP_S
+        if share >= 1.0:
+            self.ramp_from_s = None
+            return 1.0
+        return max(share, RAMP_START)
+
+    def note_wait(self, now_s: float, waited_s: float) -> None:
+        """Note the time from sending a request to its first byte."""
+        if self.n_waits == 0:
+            self.wait_s = waited_s
+        self.wait_s += WAIT_WEIGHT * (waited_s - self.wait_s)
+        self.n_waits += 1
+        self.waited_at_s = now_s
+
+    def excess_wait_s(self, now_s: float, usual_s: float) -> float:
+        """How much slower than `usual_s` its first bytes come; fades when unused."""
+        if self.n_waits < MIN_WAITS or self.wait_s <= usual_s:
+            return 0.0
+        fading = 0.5 ** ((now_s - self.waited_at_s) / WAIT_HALF_LIFE_S)
+        return (self.wait_s - usual_s) * fading
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -0,0 +1,245 @@
+"""What is expected of each backend server now.
+
+A load report is old when it arrives. It is corrected by what this daemon sent and
+saw end since, and it counts less the older it is: then the server is taken to be as
+loaded as the rest of its pool. So an unknown load is neither zero nor infinite.
+
+See Also
+--------
+bilberryridge.decisions.server_state : the state of one server and of a pool.
+bilberryridge.decisions.health : ejection, slowness and return of a server.
+
+References
+----------
+M. Dahlin, "Interpreting Stale Load Information", IEEE Transactions on Parallel and
+Distributed Systems 11 (10), 2000.
+"""
+
+import math
+import random
+
+import attrs
+
+from bilberryridge.core import requests
+from bilberryridge.decisions import server_state
+
+REPORT_TRUST_S = 10.0
+MAX_OPEN = 20_000
+MAX_EJECTED_SHARE = 0.5
+HOLD_WEIGHT = 0.05
+
+
+@attrs.frozen
+class Estimate:
+    """What is expected of a server now.
+
+    Parameters
+    ----------
+    n_busy, n_waiting : float
+        Requests in work and in its queue.
+    age_s : float
+        Of the report behind it; infinite when there is none.
+    """
+
+    n_busy: float
+    n_waiting: float
+    age_s: float
+
+
+@attrs.define
+class _Open:
+    server: str
+    sent_s: float
+    priority: requests.Priority
+    has_begun: bool = False
+
+
+class LoadBook:
+    """Loads and health of the servers that this daemon sends to.
+
+    Parameters
+    ----------
+    n_servers_bound : int
+        At the bound the server without open requests that was reported longest
+        ago is forgotten.
+    random_state : random.Random
+        Jitters the time for which a failing server is left out.
+    """
+
+    def __init__(self, n_servers_bound: int, random_state: random.Random):
+        self.n_daemons = 1
+        self._n_servers_bound = n_servers_bound
+        self._random_state = random_state
+        self._servers: dict[str, server_state.Server] = {}
+        self._pools: dict[str, server_state.Pool] = {}
+        self._open: dict[str, _Open] = {}
+
+    def __len__(self) -> int:
+        return len(self._servers)
+
+    def server(
+        self, name: str, pool: str = "", n_slots: int = 0
+    ) -> server_state.Server:
+        """The state of a server, made when new; a pool given here is remembered."""
+        state = self._servers.get(name)
+        if state is None:
+            if len(self._servers) >= self._n_servers_bound:
+                self._forget_oldest()
+            state = self._servers[name] = server_state.Server()
+            self._pool(state.pool).servers[name] = state
+        if pool and pool != state.pool:
+            self._leave_pool(name, state)
+            state.pool = pool
+            self._pool(pool).servers[name] = state
+        if n_slots:
+            state.n_slots = n_slots
+        return state
+
+    def on_report(
+        self, now_s: float, server: str, n_running: int, n_waiting: int, age_s: float
+    ) -> None:
+        """Take a load report, unless a newer one is known."""
+        state = self.server(server)
+        reported_s = now_s - age_s
+        if state.reported_s is not None and reported_s < state.reported_s:
+            return
+        state.reported_s = reported_s
+        state.n_running = n_running
+        state.n_waiting = n_waiting
+        state.drop_changes(reported_s)
+
+    def on_sent(
+        self,
+        now_s: float,
+        server: str,
+        request_id: str,
+        n_prompt_tokens: int,
+        n_output_tokens: int,
+        priority: requests.Priority,
+    ) -> None:
+        """Note a request sent to a server."""
+        self.on_ended(now_s, request_id, None)
+        if len(self._open) >= MAX_OPEN:
+            self.on_ended(now_s, next(iter(self._open)), None)
+        self._open[request_id] = _Open(server, now_s, priority)
+        state = self.server(server)
+        state.note_change(now_s, 1)
+        state.pending[request_id] = now_s
+
+    def on_began(self, now_s: float, request_id: str, waited_s: float) -> None:
+        """Note the first content of a request."""
+        item = self._open.get(request_id)
+        if item is None or item.has_begun:
+            return
+        item.has_begun = True
+        state = self.server(item.server)
+        state.pending.pop(request_id, None)
+        state.health.note_wait(now_s, waited_s)
+
+    def on_ended(self, now_s: float, request_id: str, is_good: bool | None) -> None:
+        """Note the end of a request.
+
+        Parameters
+        ----------
+        is_good : bool or None
+            None where the end says nothing of the server: the caller left, or the
+            server refused because it was full.
+        """
+        item = self._open.pop(request_id, None)
+        state = None if item is None else self._servers.get(item.server)
+        if item is None or state is None:
+            return
+        state.note_change(now_s, -1)
+        state.pending.pop(request_id, None)
+        if is_good:
+            self._note_hold(state.pool, now_s - item.sent_s)
+        if is_good is not None and state.health.note_end(now_s, is_good):
+            self._eject(now_s, state)
+
+    def on_returned(self, now_s: float, server: str) -> None:
+        """Note that a server is back after a restart: its caches are cold."""
+        self.server(server).health.note_return(now_s)
+
+    def estimate(self, now_s: float, server: str) -> Estimate:
+        """What is expected of the server now."""
+        state = self.server(server)
+        n_open = self.expected_open(now_s, state)
+        n_busy = min(n_open, float(state.n_slots))
+        age_s = math.inf if state.reported_s is None else now_s - state.reported_s
+        return Estimate(n_busy, n_open - n_busy, age_s)
+
+    def expected_open(self, now_s: float, state: server_state.Server) -> float:
+        """Requests in work or waiting at a server, as expected now."""
+        pool = self._pools[state.pool]
+        pool.refresh(now_s, self.n_daemons)
+        n_usual = (pool.utilisation - pool.n_own_a_slot) * state.n_slots
+        n_unknown = n_usual + state.n_open
+        if state.reported_s is None:
+            return max(n_unknown, state.n_open)
+        trust = math.exp((state.reported_s - now_s) / REPORT_TRUST_S)
+        n_reported = state.n_running + state.n_waiting + state.n_net
+        n_expected = trust * n_reported + (1.0 - trust) * n_unknown
+        return max(n_expected, state.n_open)
+
+    def is_ejected(self, now_s: float, server: str) -> bool:
+        """Whether the server is left out because it failed."""
+        state = self._servers.get(server)
+        return state is not None and state.health.is_ejected(now_s)
+
+    def excess_wait_s(self, now_s: float, state: server_state.Server) -> float:
+        """How much longer than in its pool a first byte takes at this server."""
+        usual_s = self._pools[state.pool].usual_wait_s
+        if usual_s is None:
+            return 0.0
+        excess_s = state.health.excess_wait_s(now_s, usual_s)
+        if state.pending:
+            longest_s = now_s - next(iter(state.pending.values()))
+            excess_s = max(excess_s, longest_s - 2.0 * usual_s)
+        return excess_s
+
+    def hold_s(self, pool: str) -> float | None:
+        """How long a request of the pool holds its slot; None when not known."""
+        known = self._pools.get(pool)
+        return None if known is None else known.hold_s
+
+    def n_net_since(self, server: str, since_s: float) -> int:
+        """Requests of this daemon sent there since, less those that ended since."""
+        state = self._servers.get(server)
+        if state is None:
+            return 0
+        return sum(delta for at_s, delta in state.changes if at_s > since_s)
+
+    def forget(self, server: str) -> None:
+        """Drop what is known of a server that is gone."""
+        state = self._servers.pop(server, None)
+        if state is not None:
+            self._leave_pool(server, state)
+
+    def _pool(self, name: str) -> server_state.Pool:
+        return self._pools.setdefault(name, server_state.Pool())
+
+    def _leave_pool(self, name: str, state: server_state.Server) -> None:
+        pool = self._pools[state.pool]
+        pool.servers.pop(name, None)
+        if not pool.servers:
+            del self._pools[state.pool]
+
+    def _forget_oldest(self) -> None:
+        def order(name: str) -> tuple[bool, float]:
+            state = self._servers[name]
+            reported_s = -math.inf if state.reported_s is None else state.reported_s
+            return state.n_open > 0, reported_s
+
+        self.forget(min(self._servers, key=order))
+
+    def _note_hold(self, pool_name: str, hold_s: float) -> None:
+        pool = self._pool(pool_name)
+        if pool.hold_s is None:
+            pool.hold_s = hold_s
+        pool.hold_s += HOLD_WEIGHT * (hold_s - pool.hold_s)
+
+    def _eject(self, now_s: float, state: server_state.Server) -> None:
+        servers = self._pools[state.pool].servers.values()
+        n_ejected = sum(other.health.is_ejected(now_s) for other in servers)
+        if n_ejected + 1 <= MAX_EJECTED_SHARE * len(servers):
+            state.health.eject(now_s, self._random_state)
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/server_state.py
@@ -0,0 +1,91 @@
+"""What is known of one server and of the pool of servers that it belongs to.
+
+See Also
+--------
+bilberryridge.decisions.loads : keeps these states up to date.
+"""
+
+import collections
+import math
+import statistics
+
+import attrs
+
+from bilberryridge.decisions import health as healths
+
+MAX_CHANGES = 256
+POOL_REFRESH_S = 0.2
+DEFAULT_SLOTS = 16
+PRIOR_UTILISATION = 0.5
+MIN_TIMED_SERVERS = 3
+
+
+@attrs.define
+class Server:
+    """What is known of one server; the load book alone changes it."""
+
+    pool: str = ""
+    n_slots: int = DEFAULT_SLOTS
+    n_running: int = 0
+    n_waiting: int = 0
+    reported_s: float | None = None
+    changes: collections.deque[tuple[float, int]] = attrs.field(
+        factory=collections.deque
+    )
+    n_net: int = 0
+    n_open: int = 0
+    pending: dict[str, float] = attrs.field(factory=dict)
+    health: healths.Health = attrs.field(factory=healths.Health)
+
+    def note_change(self, now_s: float, delta: int) -> None:
+        """Note a request of this daemon that began (1) or ended (-1) here."""
+        self.n_open += delta
+        self.n_net += delta
+        self.changes.append((now_s, delta))
+        if len(self.changes) > MAX_CHANGES:
+            _, first = self.changes.popleft()
+            at_s, second = self.changes.popleft()
+            self.changes.appendleft((at_s, first + second))
+
+    def drop_changes(self, until_s: float) -> None:
+        """Drop the changes that a report of `until_s` already contains."""
+        while self.changes and self.changes[0][0] <= until_s:
+            self.n_net -= self.changes.popleft()[1]
+
+
+@attrs.define
+class Pool:
+    """The servers of one service and what is usual among them."""
+
+    servers: dict[str, Server] = attrs.field(factory=dict)
+    refreshed_s: float = -math.inf
+    utilisation: float = PRIOR_UTILISATION
+    n_own_a_slot: float = 0.0
+    usual_wait_s: float | None = None
+    hold_s: float | None = None
+
+    def refresh(self, now_s: float, n_daemons: int) -> None:
+        """Look at all servers again, unless that was done just now."""
+        if now_s - self.refreshed_s <= POOL_REFRESH_S:
+            return
+        self.refreshed_s = now_s
+        servers = list(self.servers.values())
+        n_slots = sum(state.n_slots for state in servers)
+        n_own = sum(state.n_open for state in servers)
+        self.n_own_a_slot = n_own / n_slots
+        known = [state for state in servers if state.reported_s is not None]
+        if known:
+            n_known = sum(
+                max(item.n_running + item.n_waiting + item.n_net, item.n_open)
+                for item in known
+            )
+            self.utilisation = n_known / sum(item.n_slots for item in known)
+        else:
+            self.utilisation = min(self.n_own_a_slot * n_daemons, 1.0)
+        waits = [
+            state.health.wait_s
+            for state in servers
+            if state.health.n_waits >= healths.MIN_WAITS
+        ]
+        if len(waits) >= MIN_TIMED_SERVERS:
+            self.usual_wait_s = statistics.median(waits)
