--- a/packages/decisions/bilberryridge/decisions/attempt_flow.py
+++ b/packages/decisions/bilberryridge/decisions/attempt_flow.py
@@ -59,11 +59,10 @@
     if open_req.state == "relaying":
         once_flow.on_relay_ended(st, now_s, open_req, event)
         return
-    if open_req.req.envelope is None and open_req.domain:
+    if open_req.domain:
         _note_daemon(st, now_s, open_req, event)
-    else:
-        is_good = event.result not in SERVER_FAULTS
-        st.loads.on_ended(now_s, event.request_id, is_good)
+    is_good = event.result not in SERVER_FAULTS
+    st.loads.on_ended(now_s, event.request_id, is_good)
     if event.result in NOT_RUN_RESULTS:
         open_req.n_sent -= 1
     _follow(st, now_s, open_req, event)
@@ -150,4 +149,6 @@
         return
     after_s = event.retry_after_s or RETRY_AFTER_FAILURE_S
     reason = _REASON_BY_RESULT[event.result]
-    request_flow.refuse(st, open_req, reason, after_s, f"after {open_req.attempt} tries")
+    request_flow.refuse(
+        st, open_req, reason, after_s, f"after {open_req.attempt} tries"
+    )
--- a/packages/decisions/bilberryridge/decisions/charts/__init__.py
+++ b/packages/decisions/bilberryridge/decisions/charts/__init__.py
@@ -101,7 +101,7 @@
         model=None,
         states=states,
         initial=initial,
-        transitions=[list((event, state, target)) for state, event, target in rows],
+        transitions=[[event, state, target] for state, event, target in rows],
         auto_transitions=False,
     )
     table = {}
--- a/packages/decisions/bilberryridge/decisions/configuration_flow.py
+++ b/packages/decisions/bilberryridge/decisions/configuration_flow.py
@@ -132,4 +132,3 @@
     if is_wanted != st.is_watching:
         st.is_watching = is_wanted
         st.emit(effects.WatchStore(is_wanted, st.replica.complete_revision))
-
--- a/packages/decisions/bilberryridge/decisions/entry_flow.py
+++ b/packages/decisions/bilberryridge/decisions/entry_flow.py
@@ -15,7 +15,7 @@
     ranked = entry_ranking.rank(
         organisation.name,
         _entry_vms(st, now_s),
-        home_domain=st.cfg.domain,
+        home_domain=_home_domain(st, organisation),
         home_region=organisation.home_region,
         allowed_regions=frozenset(organisation.regions),
         n=N_ENTRY_VMS,
@@ -23,8 +23,8 @@
     )
     answer = effects.AnswerEntry(
         event.request_id,
-        tuple(_entry_vm(st, name) for name in ranked.vms),
-        ranked.holds_s,
+        tuple(_entry_vm(item) for item in ranked),
+        entry_ranking.lifetime_s(st.random_state),
         st.issuer.prefix(now_s),
         once.PREFIX_HOLDS_S,
     )
@@ -83,7 +83,7 @@
         is_leaving = _is_leaving(st, vm)
         found.append(
             entry_ranking.RankedVm(
-                vm.name,
+                vm,
                 vm.domain,
                 st.deployment.region_of(vm.domain),
                 st.members.is_live_daemon(now_s, vm.name) and not is_leaving,
@@ -101,7 +101,11 @@
     return st.members.is_leaving_daemon(vm.name)
 
 
-def _entry_vm(st: state.State, name: str) -> effects.EntryVm:
-    vm = st.deployment.vms[name]
-    region = st.deployment.region_of(vm.domain)
-    return effects.EntryVm(name, vm.domain, region, vm.address)
+def _entry_vm(item: entry_ranking.RankedVm) -> effects.EntryVm:
+    return effects.EntryVm(item.vm.name, item.domain, item.region, item.vm.address)
+
+
+def _home_domain(st: state.State, organisation: documents.Organisation) -> str:
+    # A caller that asks in its home region is kept in the domain that it reached.
+    is_home = organisation.home_region == st.cfg.region
+    return st.cfg.domain if is_home else ""
--- a/packages/decisions/bilberryridge/decisions/load_flow.py
+++ b/packages/decisions/bilberryridge/decisions/load_flow.py
@@ -50,9 +50,7 @@
         st.remote_rooms[summary.domain, summary.service] = state.RemoteRoom(
             summary.n_slots, summary.n_busy, summary.n_waiting, now_s, summary.age_s
         )
-    is_from_outside = sender not in {
-        vm.name for vm in st.domain_daemons(st.cfg.domain)
-    }
+    is_from_outside = sender not in {vm.name for vm in st.domain_daemons(st.cfg.domain)}
     if news and is_from_outside:
         for peer in st.own_peers():
             st.send_peer(peer, messages.Summaries(tuple(news)))
@@ -67,6 +65,7 @@
 
 def on_tick(st: state.State, now_s: float) -> None:
     """Share out the reports to read, and tell what was read."""
+    st.loads.n_daemons = len(st.live_own_daemons(now_s))
     _share_reports(st, now_s)
     if now_s - st.last_loads_told_s < LOADS_TOLD_INTERVAL_S:
         return
@@ -101,13 +100,11 @@
 def _tell_loads(st: state.State, now_s: float) -> None:
     reports = []
     for server, read_s in st.fresh_reports.items():
-        report = st.loads.last_report(server)
-        if report is not None:
-            reports.append(
-                messages.ServerLoad(
-                    server, report.n_running, report.n_waiting, now_s - read_s
-                )
-            )
+        known = st.loads.server(server)
+        load = messages.ServerLoad(
+            server, known.n_running, known.n_waiting, now_s - read_s
+        )
+        reports.append(load)
     st.fresh_reports.clear()
     if reports:
         for peer in st.own_peers():
--- a/packages/decisions/bilberryridge/decisions/node.py
+++ b/packages/decisions/bilberryridge/decisions/node.py
@@ -7,7 +7,7 @@
 >>> cfg = state.NodeSettings("vm-1", "niagara", "ontario", "f3", b"secret")
 >>> node = Node(cfg, random.Random(1))
 >>> [type(effect).__name__ for effect in node.handle(0.0, events.Tick())]
-['WatchStore', 'ReadLoads']
+['WatchStore']
 """
 
 import random
--- a/packages/decisions/bilberryridge/decisions/once.py
+++ b/packages/decisions/bilberryridge/decisions/once.py
@@ -138,7 +138,13 @@
         """Return a prefix that callers complete with a unique part of their own."""
         issued_s = int(now_s)
         proof = self._proof(issued_s)
-        parts = [KEY_MARK, self._owner.vm, self._owner.incarnation, str(issued_s), proof]
+        parts = [
+            KEY_MARK,
+            self._owner.vm,
+            self._owner.incarnation,
+            str(issued_s),
+            proof,
+        ]
         return KEY_SEPARATOR.join(parts) + KEY_SEPARATOR
 
     def is_own(self, issued: IssuedKey) -> bool:
--- a/packages/decisions/bilberryridge/decisions/replica.py
+++ b/packages/decisions/bilberryridge/decisions/replica.py
@@ -77,7 +77,9 @@
             Changes before `after_revision` are missing here.
         """
         if after_revision > self.complete_revision:
-            raise GapError(f"complete to {self.complete_revision}, got {after_revision}")
+            raise GapError(
+                f"complete to {self.complete_revision}, got {after_revision}"
+            )
         changed = []
         for version in versions:
             if version.revision > self.revision_of(version.key):
@@ -97,9 +99,7 @@
             The state is older than what is in force here.
         """
         if complete_revision < self.complete_revision:
-            raise RevertError(
-                f"the store is at {complete_revision}, {self.complete_revision} is in force"
-            )
+            raise RevertError(f"at {complete_revision}, behind what is in force")
         present = {version.key for version in versions}
         deleted = [
             documents.Version(key, complete_revision, b"")
--- a/packages/decisions/bilberryridge/decisions/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/request_flow.py
@@ -21,6 +21,11 @@
 """Waiting requests that can't be placed now and let others pass, per dispatch."""
 
 RETRY_SOON_S = 1.0
+EXPECTED_TOKENS_PER_S = 25.0
+"""Of one stream."""
+LEAST_WORK_S = 0.05
+MAX_WORK_SHARE = 0.25
+"""Of the service's deadline."""
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -207,6 +212,10 @@
         # The admission spreads its retry times already.
         refuse(st, open_req, result.reason, result.retry_after_s, result.detail)
         return
+    for displaced in result.displaced:
+        last = st.open.get(displaced.request_id)
+        if last is not None:
+            refuse(st, last, outcomes.Reason.OVER_SHARE, 2 * RETRY_SOON_S)
     st.step(open_req, "queue")
     st.retries.on_first_try(now_s, open_req.service.name)
     dispatch(st, now_s, open_req.service.name)
@@ -217,7 +226,7 @@
     # and never takes room that the own callers wait for.
     st.step(open_req, "queue")
     is_owner = bool(open_req.scope)
-    is_crowded = st.admission.n_waiting(open_req.service.name) > 0
+    is_crowded = open_req.service.name in st.admission.services()
     if not is_crowded and _try_place(st, now_s, open_req):
         return
     if is_owner:
@@ -232,7 +241,11 @@
 def waiting_of(open_req: state.Open) -> admission.Waiting:
     """Return what admission needs to know of a request."""
     req = open_req.req
-    n_tokens = req.n_prompt_tokens + req.n_output_tokens
+    work_s = req.n_output_tokens / EXPECTED_TOKENS_PER_S
+    # The output bound is often far above what is generated.
+    work_s = min(
+        max(work_s, LEAST_WORK_S), MAX_WORK_SHARE * open_req.service.deadline_s
+    )
     return admission.Waiting(
         request_id=req.request_id,
         service=open_req.service.name,
@@ -240,7 +253,7 @@
         weight=open_req.organisation.weight,
         priority=req.priority,
         deadline_s=open_req.deadline_s,
-        cost=float(max(n_tokens, 1)),
+        cost=work_s,
     )
 
 
@@ -255,7 +268,7 @@
 def candidates(st: state.State, service: str) -> list[placement.Candidate]:
     """Return the servers of the own failure domain that run the service."""
     return [
-        placement.Candidate(vm)
+        placement.Candidate(vm, True, st.cfg.domain, st.cfg.region)
         for vm in st.deployment.servers(st.cfg.domain)
         if vm.service == service
     ]
@@ -312,6 +325,10 @@
         home_region=open_req.organisation.home_region,
         random_state=st.random_state,
         exclude=excluded,
+        allowed_regions=st.deployment.allowed_regions(
+            open_req.service, open_req.organisation
+        ),
+        queue_wait_s=st.admission.expected_wait_s(now_s, open_req.service.name),
     )
 
 
@@ -362,17 +379,23 @@
 ) -> None:
     req = open_req.req
     vm = st.deployment.vms[choice.server]
+    _note_sent(st, now_s, req, choice.load_key)
+    st.prefixes.learn(vm.name, req.prefix_digests)
+    open_req.domain = ""
+    _send(st, now_s, open_req, vm.name, vm.address, None, choice.why)
+
+
+def _note_sent(
+    st: state.State, now_s: float, req: requests.Request, load_key: str
+) -> None:
     st.loads.on_sent(
         now_s,
-        vm.name,
+        load_key,
         req.request_id,
         req.n_prompt_tokens,
         req.n_output_tokens,
         req.priority,
     )
-    st.prefixes.learn(vm.name, req.prefix_digests)
-    open_req.domain = ""
-    _send(st, now_s, open_req, vm.name, vm.address, None, choice.why)
 
 
 def _send_to_domain(
@@ -383,10 +406,8 @@
         open_req.excluded |= {choice.domain}
         return False
     open_req.domain = choice.domain
-    room = st.remote_rooms.get((choice.domain, open_req.service.name))
-    if room is not None:
-        # Until the next summary the request counts as busy there.
-        room.n_busy += 1
+    # Until the next summary the request counts as busy there.
+    _note_sent(st, now_s, open_req.req, choice.load_key)
     envelope = make_envelope(st, now_s, open_req)
     st.count("forwards", open_req.service.name, choice.domain)
     _send(st, now_s, open_req, vm.name, vm.relay_address, envelope, choice.why)
@@ -435,7 +456,9 @@
     open_req.attempt += 1
     open_req.n_sent += 1
     open_req.vm = vm
-    st.count("attempts", open_req.service.name, "first" if open_req.attempt == 1 else "retry")
+    st.count(
+        "attempts", open_req.service.name, "first" if open_req.attempt == 1 else "retry"
+    )
     st.explain(open_req.req.request_id, f"attempt {open_req.attempt} to {vm}", why)
     send_attempt(st, now_s, open_req, address, envelope)
 
@@ -489,7 +512,5 @@
         open_req = st.open.get(waiting.request_id)
         if open_req is not None:
             refuse(st, open_req, outcomes.Reason.DEADLINE, RETRY_SOON_S)
-    for service in st.deployment.services:
-        if st.admission.n_waiting(service):
-            dispatch(st, now_s, service)
-
+    for service in st.admission.services():
+        dispatch(st, now_s, service)
--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -159,7 +159,7 @@
         self.last_heartbeat_s = float("-inf")
         self.last_list_told_s = float("-inf")
         # Load
-        self.loads = loads.LoadBook(MAX_LOADED_SERVERS)
+        self.loads = loads.LoadBook(MAX_LOADED_SERVERS, random_state)
         self.prefixes = prefixes.PrefixBook(MAX_PREFIX_ENTRIES)
         self.remote_rooms: dict[tuple[str, str], RemoteRoom] = {}
         self.read_servers: tuple[tuple[str, str], ...] = ()
@@ -171,9 +171,7 @@
         self.admission = admission.Admission(random_state)
         self.retries = retries.RetryBudget()
         # At most once
-        self.issuer = once.KeyIssuer(
-            once.Owner(cfg.vm, cfg.incarnation), cfg.secret
-        )
+        self.issuer = once.KeyIssuer(once.Owner(cfg.vm, cfg.incarnation), cfg.secret)
         self.runs = once.OnceBook()
         self.copies = once.CopyBook()
         self.last_expired_s = float("-inf")
@@ -195,7 +193,7 @@
         self.emit(effects.Changed(what, subject, before, after))
 
     def jittered(self, seconds: float) -> float:
-        """Return a time spread by a quarter either way, so callers don't come at once."""
+        """Return a time spread by a quarter, so that callers come back apart."""
         return round(seconds * self.random_state.uniform(0.75, 1.25), 2)
 
     def send_peer(self, vm: str, body: object) -> None:
