--- a/packages/decisions/bilberryridge/decisions/replica.py
+++ b/packages/decisions/bilberryridge/decisions/replica.py
@@ -213,13 +213,14 @@
         return allowed
 
     def _table(self, kind: str) -> dict | None:
-        return {
+        tables: dict[str, dict] = {
             "domain": self.domains,
             "vm": self.vms,
             "service": self.services,
             "organisation": self.organisations,
             "link": self.links,
-        }.get(kind)
+        }
+        return tables.get(kind)
 
     def _index_vm(self, name: str, document: documents.Document | None) -> None:
         before = self.vms.get(name)
--- a/packages/decisions/bilberryridge/decisions/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/request_flow.py
@@ -276,7 +276,7 @@
 
 def dispatch(st: state.State, now_s: float, service: str) -> None:
     """Place waiting requests while there is room."""
-    skipped = []
+    skipped: list[admission.Waiting] = []
     while len(skipped) < MAX_SKIPPED:
         waiting = st.admission.take(now_s, service)
         if waiting is None:
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/tests/fleet.py
@@ -0,0 +1,317 @@
+"""A few nodes in one process, with a network and backend servers of plain lists.
+
+Nothing happens by itself: a test picks what is delivered, lost or doubled next, so any
+order of events can be brought about. Counting is done at the servers.
+"""
+
+import collections
+import hashlib
+import random
+
+import attrs
+
+from bilberryridge.core import documents, encoding, messages, outcomes, requests
+from bilberryridge.decisions import effects, events, node, state
+
+TOKEN = "token"
+TOKEN_DIGEST = hashlib.sha256(TOKEN.encode()).hexdigest()
+BOOKINGS = "order-desk"
+MODEL = "grower-assistant"
+
+
+def make_documents(domains=("north", "south"), n_daemons=2, **service_fields):
+    """Documents of a deployment: a region of its own for each domain."""
+    regions = tuple(f"{name}-region" for name in domains)
+    found = [documents.Organisation("growers", regions[0], (), (TOKEN_DIGEST,))]
+    fields = {"regions": regions, **service_fields}
+    kinds = documents.ServiceKind
+    found.append(documents.Service(BOOKINGS, kinds.PLAIN, **fields))
+    found.append(documents.Service(MODEL, kinds.MODEL, **fields))
+    for name, region in zip(domains, regions, strict=True):
+        found.append(documents.Domain(name, region))
+        for i in range(n_daemons):
+            vm = f"{name}-{i}"
+            address = (f"{vm}:8080", f"{vm}:8081", f"{vm}:8082")
+            found.append(documents.Vm(vm, documents.VmKind.ENTRY, name, *address))
+        for service in (BOOKINGS, MODEL):
+            server = f"{name}-{service}"
+            found.append(
+                documents.Vm(
+                    server,
+                    documents.VmKind.SERVER,
+                    name,
+                    f"{server}:9000",
+                    service=service,
+                    n_slots=8,
+                    tokens_per_s=200.0,
+                )
+            )
+    return found
+
+
+def versions_of(found, revision=1):
+    """Versions as the store would hold them, all of one revision."""
+    by_type = {cls: kind for kind, cls in documents.KINDS.items()}
+    return tuple(
+        documents.Version(
+            f"{by_type[type(doc)]}/{getattr(doc, 'name', '') or f'{doc.a}--{doc.b}'}",
+            revision,
+            encoding.to_json(doc),
+        )
+        for doc in found
+    )
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """A request on its way to a backend server or another daemon."""
+
+    sender: str
+    incarnation: str
+    effect: effects.SendAttempt
+    req: requests.Request
+
+
+@attrs.define(eq=False)
+class Control:
+    """A control message on its way."""
+
+    sender: str
+    incarnation: str
+    effect: effects.SendPeer
+
+
+class Fleet:
+    """Nodes by VM name, what is under way, and what servers ran and callers got."""
+
+    def __init__(self, found=None, seed=1):
+        self.random = random.Random(seed)
+        self.now_s = 1000.0
+        self.documents = found or make_documents()
+        self.nodes = {}
+        self.frozen = set()
+        self.cut = set()
+        self.attempts = []
+        self.controls = []
+        self.claims = {}
+        self.claims_wanted = []
+        self.ran = collections.Counter()
+        self.answers = collections.defaultdict(list)
+        self.requests = {}
+        self.entries = {}
+        self.relayed = {}
+        self.n_started = 0
+        self.effects = []
+        for doc in self.documents:
+            if getattr(doc, "kind", None) is documents.VmKind.ENTRY:
+                self.start(doc.name)
+
+    def start(self, vm, is_configured=True):
+        """Start a node, or replace it with a new incarnation."""
+        self.n_started += 1
+        domain = vm.rsplit("-", 1)[0]
+        cfg = state.NodeSettings(
+            vm, domain, f"{domain}-region", f"i{self.n_started}", vm.encode()
+        )
+        self.frozen.discard(vm)
+        for other in self.nodes:
+            if other != vm:
+                self.give(other, events.PeerDown(vm))
+        self.nodes[vm] = node.Node(cfg, random.Random(self.n_started))
+        if is_configured:
+            read = events.ConfigurationRead(0, 1, versions_of(self.documents))
+            self.give(vm, read)
+        for other, running in self.nodes.items():
+            if other != vm:
+                self.give(vm, events.PeerUp(other, running.state.cfg.incarnation))
+                self.give(other, events.PeerUp(vm, cfg.incarnation))
+        for doc in self.documents:
+            if getattr(doc, "kind", None) is documents.VmKind.SERVER:
+                if doc.domain == domain:
+                    self.give(vm, events.LoadRead(doc.name, 0, 0))
+
+    def give(self, vm, event):
+        """Hand a node an event and take in its effects."""
+        for effect in self.nodes[vm].handle(self.now_s, event):
+            self._take(vm, effect)
+
+    def tick(self, seconds=0.05):
+        """Let time pass for all nodes that run."""
+        self.now_s += seconds
+        for vm in self.nodes:
+            if vm not in self.frozen:
+                self.give(vm, events.Tick())
+
+    def send(self, vm, request_id, key="", body=b"", **fields):
+        """A caller's request at an entry VM."""
+        service = fields.pop("service", BOOKINGS)
+        req = requests.Request(
+            request_id,
+            fields.pop("method", "POST"),
+            service,
+            "/book",
+            caller_digest=TOKEN_DIGEST,
+            idempotency_key=key,
+            body_digest=body,
+            **fields,
+        )
+        self.entries[request_id] = vm
+        self.requests[vm, request_id] = req
+        self.give(vm, events.RequestArrived(req))
+
+    def key_prefix(self, vm):
+        """The prefix that a caller gets from an entry VM."""
+        self.give(vm, events.EntryAsked("entry", TOKEN_DIGEST))
+        return self.answers["entry"].pop().key_prefix
+
+    def _take(self, vm, effect):
+        incarnation = self.nodes[vm].state.cfg.incarnation
+        self.effects.append((vm, effect))
+        if isinstance(effect, effects.SendAttempt):
+            req = self.requests[vm, effect.request_id]
+            self.attempts.append(Attempt(vm, incarnation, effect, req))
+        elif isinstance(effect, effects.SendPeer):
+            self.controls.append(Control(vm, incarnation, effect))
+        elif isinstance(effect, effects.Claim):
+            self.claims_wanted.append((vm, incarnation, effect))
+        elif isinstance(effect, effects.Refuse):
+            self._answer(vm, effect.request_id, effect.refusal)
+        elif isinstance(effect, effects.AnswerStored):
+            self._answer(vm, effect.request_id, effect.answer)
+        elif isinstance(effect, effects.AnswerEntry):
+            self.answers[effect.request_id].append(effect)
+        elif isinstance(effect, effects.PassAnswer):
+            self._answer(
+                vm,
+                effect.request_id,
+                self.relayed.pop((vm, effect.request_id), "passed"),
+            )
+
+    def _answer(self, vm, request_id, what):
+        waiting = self.relayed.pop((request_id, vm), None)
+        if waiting is not None:
+            self._end_relay(waiting, what)
+        elif self.entries.get(request_id) == vm:
+            self.answers[request_id].append(what)
+
+    def _end_relay(self, attempt, what):
+        result, answer = events.AttemptResult.WHOLE, None
+        status = 200
+        if isinstance(what, outcomes.Refusal):
+            is_not_run = what.outcome is outcomes.Outcome.NOT_RUN
+            result = (
+                events.AttemptResult.REFUSED
+                if is_not_run
+                else events.AttemptResult.FAILED
+            )
+            status = what.status
+            self.relayed[attempt.sender, attempt.req.request_id] = what
+        elif isinstance(what, events.StoredAnswer):
+            answer = what
+        self.end(attempt, result, status, answer)
+
+    def end(self, attempt, result, status=0, answer=None):
+        """Tell the sender of an attempt how it ended, if it is still there."""
+        sender = self.nodes[attempt.sender]
+        if sender.state.cfg.incarnation != attempt.incarnation:
+            return
+        event = events.AttemptEnded(
+            attempt.effect.request_id,
+            attempt.effect.attempt,
+            result,
+            status,
+            answer=answer,
+        )
+        is_whole = result is events.AttemptResult.WHOLE
+        self.give(attempt.sender, event)
+        if is_whole:
+            self._answer(attempt.sender, attempt.effect.request_id, answer)
+
+    def deliver_attempt(self, i=0, is_answer_lost=False):
+        """Let an attempt reach its server or daemon."""
+        attempt = self.attempts.pop(i)
+        effect = attempt.effect
+        is_late = self.now_s > effect.deadline_s
+        if attempt.sender in self.frozen:
+            self.attempts.append(attempt)
+            return
+        if (
+            is_late
+            and self.nodes[attempt.sender].state.cfg.incarnation == attempt.incarnation
+        ):
+            self.end(attempt, events.AttemptResult.NOT_SENT)
+            return
+        if effect.envelope is None:
+            self._run(attempt, is_answer_lost)
+        elif frozenset((attempt.sender, effect.vm)) in self.cut:
+            self.end(attempt, events.AttemptResult.NOT_SENT)
+        elif effect.vm in self.frozen:
+            self.attempts.append(attempt)
+        else:
+            self._reach_daemon(attempt, is_answer_lost)
+
+    def lose_attempt(self, i=0):
+        """An attempt never arrives; its sender only notices the silence."""
+        self.end(self.attempts.pop(i), events.AttemptResult.TIMED_OUT)
+
+    def _run(self, attempt, is_answer_lost):
+        req = attempt.req
+        self.ran[req.idempotency_key or req.request_id] += 1
+        if is_answer_lost:
+            self.end(attempt, events.AttemptResult.LOST)
+            return
+        answer = events.StoredAnswer(200, (), b"ran " + req.body_digest)
+        self.end(attempt, events.AttemptResult.WHOLE, 200, answer)
+
+    def _reach_daemon(self, attempt, is_answer_lost):
+        effect, req = attempt.effect, attempt.req
+        arrived = attrs.evolve(req, envelope=effect.envelope, caller_digest="")
+        self.requests[effect.vm, req.request_id] = arrived
+        if is_answer_lost:
+            self.end(attempt, events.AttemptResult.LOST)
+        else:
+            self.relayed[req.request_id, effect.vm] = attempt
+        self.give(effect.vm, events.RequestArrived(arrived))
+
+    def deliver_control(self, i=0, is_doubled=False):
+        """Let a control message arrive."""
+        control = self.controls.pop(i)
+        to = control.effect.vm
+        is_cut = frozenset((control.sender, to)) in self.cut
+        if is_cut or to in self.frozen or to not in self.nodes:
+            return
+        frame = messages.Frame(
+            control.sender,
+            control.incarnation,
+            control.effect.revision,
+            control.effect.body,
+        )
+        for _ in range(1 + is_doubled):
+            self.give(to, events.PeerSaid(frame))
+
+    def answer_claim(self, i=0, is_down=False, is_answer_lost=False):
+        """Let the store answer a claim."""
+        vm, incarnation, claim = self.claims_wanted.pop(i)
+        if not is_down:
+            self.claims.setdefault(claim.name, claim.holder)
+        if self.nodes[vm].state.cfg.incarnation != incarnation:
+            return
+        holder = self.claims.get(claim.name, "")
+        result = events.ClaimResult.HELD
+        if is_down or is_answer_lost:
+            result, holder = events.ClaimResult.UNREACHABLE, ""
+        elif holder != claim.holder:
+            result = events.ClaimResult.TAKEN
+        self.give(vm, events.ClaimAnswered(claim.request_id, result, holder))
+
+    def settle(self, n_steps=200):
+        """Deliver everything until nothing is under way."""
+        for _ in range(n_steps):
+            if self.claims_wanted:
+                self.answer_claim()
+            elif self.attempts:
+                self.deliver_attempt()
+            elif self.controls:
+                self.deliver_control()
+            else:
+                return
