--- /dev/null
+++ b/packages/transport/bilberryridge/transport/answers.py
@@ -0,0 +1,67 @@
+"""Heads of answers, as libcurl hands over their lines."""
+
+from bilberryridge.transport import headers
+
+BODILESS_STATUSES = frozenset([204, 304])
+
+
+class AnswerHead:
+    """The head of an answer, line by line.
+
+    Examples
+    --------
+    >>> head = AnswerHead()
+    >>> for line in (b"HTTP/1.1 200 OK\\r\\n", b"X-A: b\\r\\n", b"\\r\\n"):
+    ...     head.feed(line)
+    >>> head.is_complete, head.status, head.fields
+    (True, 200, (('X-A', 'b'),))
+    """
+
+    __slots__ = ("_fields", "is_complete", "status")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.is_complete = False
+        self._fields: list[tuple[str, str]] = []
+
+    @property
+    def fields(self) -> headers.Fields:
+        """Header fields so far."""
+        return tuple(self._fields)
+
+    def feed(self, line: bytes) -> None:
+        """Take a line; fields after the body are left out."""
+        if self.is_complete:
+            return
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self.status = int(text.split()[1])
+            self._fields.clear()
+        elif text:
+            name, _, value = text.partition(":")
+            self._fields.append((name.strip(), value.strip()))
+        else:
+            # An informational head is followed by another one.
+            self.is_complete = self.status >= 200
+
+    def find(self, name: str) -> str:
+        """Value of a field; empty when there is none."""
+        return headers.find(self.fields, name)
+
+    def has_length(self, method: str) -> bool:
+        """Whether the end of the body can be told from a cut."""
+        if method == "HEAD" or self.status in BODILESS_STATUSES:
+            return True
+        is_chunked = self.find("transfer-encoding").lower().endswith("chunked")
+        return is_chunked or bool(self.find("content-length"))
+
+
+def retry_after_s(text: str) -> float | None:
+    """Read a `Retry-After` in seconds.
+
+    Examples
+    --------
+    >>> retry_after_s("3"), retry_after_s("soon")
+    (3.0, None)
+    """
+    return float(text) if text.isascii() and text.isdigit() else None
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/attempt.py
@@ -0,0 +1,271 @@
+"""One attempt: a libcurl transfer whose answer goes to an exchange."""
+
+import time
+from collections.abc import Callable
+
+import pycurl
+
+from bilberryridge.core import outcomes
+from bilberryridge.decisions import effects, events
+from bilberryridge.transport import (
+    answers,
+    exchange,
+    headers,
+    outgoing,
+    timers,
+    verdicts,
+    wholeness,
+)
+from bilberryridge.utilities import transfers
+
+MAX_STORED_BODY_BYTES = 16_384
+EVENT_STREAM = "text/event-stream"
+OK = 200
+FIRST_ERROR = 300
+REFUSE_DATA = -1
+"""What a callback returns to make libcurl give the transfer and its connection up."""
+
+Report = Callable[["Attempt", events.AttemptEnded], None]
+
+
+class Attempt:
+    """An attempt, from its start to its one report.
+
+    Parameters
+    ----------
+    effect : effects.SendAttempt
+    order : outgoing.Outgoing
+    ex : exchange.Exchange
+        Takes the answer.
+    max_held_bytes : int
+    pool : transfers.Transfers
+    alarms : timers.Timers
+    on_begun : Callable
+        Called with the attempt and the seconds it waited when it is committed.
+    on_ended : Callable
+        Called once at the end, unless the attempt is abandoned.
+    """
+
+    def __init__(
+        self,
+        effect: effects.SendAttempt,
+        order: outgoing.Outgoing,
+        ex: exchange.Exchange,
+        max_held_bytes: int,
+        pool: transfers.Transfers,
+        alarms: timers.Timers,
+        on_begun: Callable[["Attempt", float], None],
+        on_ended: Report,
+    ):
+        self.effect = effect
+        self.exchange = ex
+        self.is_paused = False
+        self._order = order
+        self._max_held_bytes = max_held_bytes
+        self._pool = pool
+        self._alarms = alarms
+        self._on_begun = on_begun
+        self._on_ended = on_ended
+        self._head = answers.AnswerHead()
+        self._stream: wholeness.EventStream | None = None
+        self._held = bytearray()
+        self._has_body = False
+        self._may_have_left = False
+        self._is_crossed = False
+        self._is_late = False
+        self._is_committed = False
+        self._started_s = time.monotonic()
+        self._curl = outgoing.make_curl(order)
+        self._curl.setopt(pycurl.PREREQFUNCTION, self._on_prereq)
+        self._curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        self._curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
+        self._first_byte_timer = alarms.at(
+            order.first_byte_deadline_s, self._on_first_byte_late
+        )
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events that ends with a marker."""
+        return self._stream is not None
+
+    def start(self) -> None:
+        """Send the request."""
+        self._pool.add(self._curl, self._on_done)
+
+    def resume(self) -> None:
+        """Go on after a pause."""
+        if self.is_paused:
+            self.is_paused = False
+            self._pool.resume(self._curl)
+
+    def abandon(self) -> None:
+        """Give the attempt up and close its connection; it reports nothing."""
+        self._first_byte_timer.cancel()
+        self._pool.remove(self._curl)
+
+    def _on_prereq(self, *_addresses: object) -> int:
+        """Look at the deadline right before the first byte leaves."""
+        is_second = self._may_have_left and self._order.is_once
+        if is_second or time.monotonic() >= self._order.deadline_s:
+            self._is_late = not is_second
+            return pycurl.PREREQFUNC_ABORT
+        self._may_have_left = True
+        return pycurl.PREREQFUNC_OK
+
+    def _on_header(self, line: bytes) -> int | None:
+        self._head.feed(line)
+        if not self._head.is_complete or self._has_body:
+            return None
+        echoed = self._head.find(headers.REQUEST_ID)
+        if echoed and echoed != self.effect.request_id:
+            self._is_crossed = True
+            return REFUSE_DATA
+        return None
+
+    def _on_body(self, chunk: bytes) -> int | None:
+        if self._is_committed:
+            if self.exchange.is_full:
+                self.is_paused = True
+                return pycurl.WRITEFUNC_PAUSE
+            if self._stream is not None:
+                chunk = self._stream.feed(chunk)
+            self.exchange.pass_on(chunk)
+            return None
+        if not self._has_body:
+            self._on_first_byte()
+        return self._hold(chunk)
+
+    def _on_first_byte(self) -> None:
+        self._has_body = True
+        self._first_byte_timer.cancel()
+        is_events = self._head.find("content-type").lower().startswith(EVENT_STREAM)
+        if self.exchange.is_streamed and is_events and self._head.status == OK:
+            self._stream = wholeness.EventStream(self.effect.has_content)
+
+    def _hold(self, chunk: bytes) -> int | None:
+        """Keep what came in until it can be committed to."""
+        if self._stream is not None:
+            self._held += self._stream.feed(chunk)
+            if self._stream.is_begun:
+                self._commit()
+                return None
+        else:
+            self._held += chunk
+        if len(self._held) <= self._max_held_bytes:
+            return None
+        if self._stream is not None or verdicts.is_failure(self._head.status):
+            return REFUSE_DATA
+        self._commit()
+        return None
+
+    def _commit(self) -> None:
+        fields = headers.of_answer(self._head.fields, self._is_daemon)
+        if self._stream is not None:
+            fields = headers.without(fields, exchange.LENGTH)
+        self._is_committed = True
+        self._on_begun(self, time.monotonic() - self._started_s)
+        self.exchange.begin(self._head.status, fields)
+        self.exchange.pass_on(bytes(self._held))
+        self._held.clear()
+
+    @property
+    def _is_daemon(self) -> bool:
+        return self.effect.envelope is not None
+
+    def _on_first_byte_late(self) -> None:
+        self._pool.remove(self._curl)
+        self._is_late = True
+        self._end(is_complete=False)
+
+    def _on_done(self, _curl: pycurl.Curl, errno: int, _text: str) -> None:
+        self._first_byte_timer.cancel()
+        if self._stream is not None:
+            is_complete = self._stream.is_ended
+        else:
+            is_complete = errno == 0 and self._head.has_length(self._order.method)
+        if errno == pycurl.E_OPERATION_TIMEDOUT and not is_complete:
+            self._is_late = True
+        self._end(is_complete)
+
+    def _end(self, is_complete: bool) -> None:
+        result = verdicts.of(self._facts(is_complete))
+        answer = None
+        if self._is_committed:
+            self._end_committed(result)
+        elif self._head.is_complete and is_complete and not self._is_crossed:
+            answer = self._end_held(result)
+        is_kept = self.effect.is_once and result is events.AttemptResult.WHOLE
+        ended = events.AttemptEnded(
+            request_id=self.effect.request_id,
+            attempt=self.effect.attempt,
+            result=result,
+            status=self._head.status,
+            is_committed=self.exchange.is_committed,
+            retry_after_s=answers.retry_after_s(self._head.find(headers.RETRY_AFTER)),
+            answer=self._stored(answer) if is_kept else None,
+            n_output_tokens=self._n_output_tokens(),
+        )
+        self._on_ended(self, ended)
+
+    def _end_committed(self, result: events.AttemptResult) -> None:
+        if result is events.AttemptResult.WHOLE:
+            self.exchange.finish()
+            return
+        refusal = outcomes.Refusal(
+            outcomes.Reason.ANSWER_LOST,
+            outcomes.Outcome.UNKNOWN,
+            "the answer was cut on its way",
+        )
+        self.exchange.cut(refusal, self.is_stream)
+
+    def _end_held(self, result: events.AttemptResult) -> events.StoredAnswer:
+        """Hand the whole answer on, or hold it for the node's word."""
+        fields = headers.of_answer(self._head.fields, self._is_daemon)
+        answer = events.StoredAnswer(self._head.status, fields, bytes(self._held))
+        if result is events.AttemptResult.WHOLE:
+            self._on_begun(self, time.monotonic() - self._started_s)
+            self.exchange.answer(answer.status, answer.headers, answer.body)
+        elif result in (events.AttemptResult.FAILED, events.AttemptResult.REFUSED):
+            self.exchange.held = answer
+        return answer
+
+    def _stored(self, answer: events.StoredAnswer | None) -> events.StoredAnswer:
+        """The answer as the node keeps it, without a body that is too large."""
+        if answer is None:
+            fields = headers.of_answer(self._head.fields, self._is_daemon)
+            answer = events.StoredAnswer(self._head.status, fields, b"")
+        elif len(answer.body) <= MAX_STORED_BODY_BYTES:
+            fields = headers.without(answer.headers, exchange.LENGTH)
+            return events.StoredAnswer(answer.status, fields, answer.body)
+        fields = headers.without(answer.headers, exchange.LENGTH)
+        fields = (*fields, (headers.BODY_KEPT, "no"))
+        return events.StoredAnswer(answer.status, fields, b"")
+
+    def _facts(self, is_complete: bool) -> verdicts.Facts:
+        return verdicts.Facts(
+            may_have_left=self._may_have_left,
+            is_late=self._is_late,
+            is_crossed=self._is_crossed,
+            is_complete=is_complete,
+            is_blank=self._is_blank(),
+            status=self._head.status,
+            outcome=self._head.find(headers.OUTCOME),
+            is_daemon=self._is_daemon,
+            is_once=self.effect.is_once,
+        )
+
+    def _is_blank(self) -> bool:
+        if not self.effect.has_content or self._is_committed:
+            return False
+        if self._order.method == "HEAD" or self._head.status >= FIRST_ERROR:
+            return False
+        if self._stream is not None:
+            return not self._stream.is_begun
+        return wholeness.is_blank(self._held, self.exchange.is_model)
+
+    def _n_output_tokens(self) -> int:
+        if self._stream is not None:
+            return self._stream.n_events
+        if self.exchange.is_model and self._held:
+            return wholeness.n_tokens(self._held)
+        return 0
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/edge.py
@@ -0,0 +1,298 @@
+"""The edge task: callers' sockets and the transfers to the other side.
+
+One thread and one selector own every socket, so a stream costs no thread and no
+hand-over between threads.
+
+See Also
+--------
+bilberryridge.transport.exchanges : what is done with requests and effects.
+bilberryridge.transport.connection : one caller's connection.
+"""
+
+import contextlib
+import selectors
+import socket
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from bilberryridge.core import outcomes
+from bilberryridge.decisions import effects, events
+from bilberryridge.transport import (
+    connection,
+    exchanges,
+    limits,
+    metrics,
+    routes,
+    settings,
+    timers,
+)
+from bilberryridge.utilities import mailbox, transfers
+
+EdgeSettings = settings.EdgeSettings
+
+LONGEST_WAIT_S = 1.0
+BACKLOG = 1024
+MAX_ACCEPTS_AT_ONCE = 64
+ACCEPT_PAUSE_S = 0.2
+MAX_REFUSED_CONNECTIONS = 64
+FULL_RETRY_S = 1.0
+
+
+@attrs.frozen
+class _StopAccepting:
+    """Close the listeners and what is idle."""
+
+
+@attrs.frozen
+class _Close:
+    """End the task."""
+
+
+class Edge:
+    """The edge task.
+
+    `put`, `stop_accepting` and `close` may be called from any thread.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.EdgeSettings,
+        listeners: tuple[socket.socket, socket.socket],
+        inbox: mailbox.Mailbox,
+        selector: selectors.BaseSelector,
+        pool: transfers.Transfers,
+        post: Callable[[events.Event], None],
+        counters: metrics.Metrics,
+    ):
+        self._cfg = cfg
+        self._inbox = inbox
+        self._selector = selector
+        self._pool = pool
+        self._counters = counters
+        self._alarms = timers.Timers()
+        self._exchanges = exchanges.Exchanges(cfg, post, counters, pool, self._alarms)
+        self._limits = {
+            is_relay: limits.ConnectionLimits(cfg.max_connections, n_per_address)
+            for is_relay, n_per_address in (
+                (False, cfg.max_connections_per_address),
+                (True, cfg.max_connections),
+            )
+        }
+        self._conns: set[connection.Connection] = set()
+        self._unlimited: set[connection.Connection] = set()
+        self._listeners = [
+            _Listener(sock, is_relay, self)
+            for sock, is_relay in zip(listeners, (False, True), strict=True)
+        ]
+        self._closing_at_s: float | None = None
+        self.caller_address: settings.Address = listeners[0].getsockname()[:2]
+        self.relay_address: settings.Address = listeners[1].getsockname()[:2]
+
+    def put(self, effect: effects.Effect) -> None:
+        """Have an effect carried out."""
+        self._inbox.put(effect)
+
+    def stop_accepting(self) -> None:
+        """Close listeners and idle connections; open requests go on."""
+        self._inbox.put(_StopAccepting())
+
+    def close(self) -> None:
+        """End `run` once callers took what waits for them; called again, at once."""
+        self._inbox.put(_Close())
+
+    def run(self) -> None:
+        """Serve until closed."""
+        self._inbox.register(self._selector)
+        for listener in self._listeners:
+            self._selector.register(listener.sock, selectors.EVENT_READ, listener)
+        try:
+            while not self._is_over():
+                self._run_once()
+        finally:
+            for conn in list(self._conns):
+                conn.close()
+            self._close_listeners()
+
+    def on_accepted(self, sock: socket.socket, address: str, is_relay: bool) -> None:
+        """Take a new connection, or refuse it at once."""
+        refusal = self._limits[is_relay].refusal(address)
+        if refusal:
+            self._counters.count("edge_connections_refused", (refusal,))
+            if len(self._unlimited) >= MAX_REFUSED_CONNECTIONS:
+                sock.close()
+                return
+        conn = connection.Connection(
+            sock,
+            address,
+            is_relay,
+            self._cfg,
+            self._selector,
+            self._alarms,
+            self,
+        )
+        self._conns.add(conn)
+        if refusal:
+            self._unlimited.add(conn)
+            self._exchanges.on_bad_input(conn, _full())
+
+    def pause_accepting(self, listener: "_Listener") -> None:
+        """Leave new connections waiting for a moment: no descriptor is left."""
+        self._counters.count("edge_accept_paused")
+        self._selector.unregister(listener.sock)
+        at_s = time.monotonic() + ACCEPT_PAUSE_S
+        self._alarms.at(at_s, lambda: self._accept_again(listener))
+
+    # What connections say.
+
+    def on_head(self, conn: connection.Connection, head: routes.Head) -> None:
+        """See `connection.Owner`."""
+        self._exchanges.on_head(conn, head)
+
+    def on_request(
+        self, conn: connection.Connection, head: routes.Head, body: bytes
+    ) -> None:
+        """See `connection.Owner`."""
+        self._exchanges.on_request(conn, head, body)
+
+    def on_bad_input(
+        self, conn: connection.Connection, refusal: outcomes.Refusal
+    ) -> None:
+        """See `connection.Owner`."""
+        self._exchanges.on_bad_input(conn, refusal)
+
+    def on_gone(self, conn: connection.Connection) -> None:
+        """See `connection.Owner`."""
+        self._exchanges.on_gone(conn)
+
+    def on_drained(self, conn: connection.Connection) -> None:
+        """See `connection.Owner`."""
+        self._exchanges.on_drained(conn)
+
+    def on_closed(self, conn: connection.Connection) -> None:
+        """See `connection.Owner`."""
+        self._conns.discard(conn)
+        if conn in self._unlimited:
+            self._unlimited.discard(conn)
+        else:
+            self._limits[conn.is_relay].release(conn.address)
+
+    def _run_once(self) -> None:
+        now_s = time.monotonic()
+        wait_s = self._pool.timeout_s(self._alarms.timeout_s(now_s, LONGEST_WAIT_S))
+        for key, mask in self._selector.select(wait_s):
+            if key.data is self._inbox:
+                self._take_messages()
+            else:
+                key.data.on_ready(key, mask)
+        self._pool.run_due()
+        self._alarms.run_due(time.monotonic())
+
+    def _take_messages(self) -> None:
+        for message in self._inbox.take_all():
+            if isinstance(message, _StopAccepting):
+                self._stop_accepting()
+            elif isinstance(message, _Close):
+                self._begin_to_close()
+            else:
+                self._exchanges.carry_out(message)
+
+    def _stop_accepting(self) -> None:
+        self._close_listeners()
+        for conn in list(self._conns):
+            conn.stop()
+
+    def _begin_to_close(self) -> None:
+        self._stop_accepting()
+        now_s = time.monotonic()
+        is_again = self._closing_at_s is not None
+        self._closing_at_s = now_s if is_again else now_s + self._cfg.drain_deadline_s
+
+    def _is_over(self) -> bool:
+        if self._closing_at_s is None:
+            return False
+        if time.monotonic() >= self._closing_at_s:
+            return True
+        return not any(conn.has_output for conn in self._conns)
+
+    def _accept_again(self, listener: "_Listener") -> None:
+        if listener in self._listeners:
+            self._selector.register(listener.sock, selectors.EVENT_READ, listener)
+
+    def _close_listeners(self) -> None:
+        listeners, self._listeners = self._listeners, []
+        for listener in listeners:
+            listener.close(self._selector)
+
+
+class _Listener:
+    """A listening socket of the task."""
+
+    def __init__(self, sock: socket.socket, is_relay: bool, owner: Edge):
+        self.sock = sock
+        self._is_relay = is_relay
+        self._owner = owner
+
+    def on_ready(self, _key: selectors.SelectorKey, _mask: int) -> None:
+        """Accept what is waiting."""
+        for _ in range(MAX_ACCEPTS_AT_ONCE):
+            try:
+                sock, address = self.sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError:
+                self._owner.pause_accepting(self)
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._owner.on_accepted(sock, address[0], self._is_relay)
+
+    def close(self, selector: selectors.BaseSelector) -> None:
+        """Stop listening."""
+        with contextlib.suppress(KeyError):
+            selector.unregister(self.sock)
+        self.sock.close()
+
+
+def _full() -> outcomes.Refusal:
+    detail = "too many connections are open"
+    reason, outcome = outcomes.Reason.BUSY, outcomes.Outcome.NOT_RUN
+    return outcomes.Refusal(reason, outcome, detail, FULL_RETRY_S)
+
+
+@contextlib.contextmanager
+def open_edge(
+    cfg: settings.EdgeSettings,
+    post: Callable[[events.Event], None],
+    counters: metrics.Metrics,
+) -> Iterator[Edge]:
+    """Make the edge task; its listeners accept from here on.
+
+    Parameters
+    ----------
+    cfg : settings.EdgeSettings
+    post : Callable
+        Takes events for the node; may be called from the edge's thread.
+    counters : metrics.Metrics
+
+    Yields
+    ------
+    Edge
+        Its `run` is to be called by one thread and must have returned at the end.
+    """
+    with contextlib.ExitStack() as stack:
+        listeners = (
+            stack.enter_context(_listen(cfg.caller_address)),
+            stack.enter_context(_listen(cfg.relay_address)),
+        )
+        inbox = stack.enter_context(mailbox.open_mailbox())
+        selector = stack.enter_context(selectors.DefaultSelector())
+        pool = stack.enter_context(transfers.open_transfers(selector))
+        yield Edge(cfg, listeners, inbox, selector, pool, post, counters)
+
+
+def _listen(address: settings.Address) -> socket.socket:
+    sock = socket.create_server(address, backlog=BACKLOG)
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/exchange.py
@@ -0,0 +1,111 @@
+"""One open request: what it needs to be sent, and the way back to its caller."""
+
+from typing import TYPE_CHECKING
+
+from bilberryridge.core import outcomes, requests
+from bilberryridge.decisions import events
+from bilberryridge.transport import connection, headers, problems, routes
+
+if TYPE_CHECKING:
+    from bilberryridge.transport import attempt
+
+LENGTH = "content-length"
+
+
+class Exchange:
+    """A caller's request from its arrival to the end of its answer.
+
+    Parameters
+    ----------
+    request_id : str
+    conn : connection.Connection
+    head : routes.Head
+    trace_parent : str
+
+    Attributes
+    ----------
+    req : requests.Request or None
+        None for what the node answers itself.
+    body : bytes
+        As it goes on to the other side; dropped once no attempt can follow.
+    attempt : attempt.Attempt or None
+        The one that is running.
+    held : events.StoredAnswer or None
+        The last attempt's answer, waiting for the node's word.
+    is_committed : bool
+        Whether any part of an answer went to the caller.
+    is_gone : bool
+        Whether the caller left.
+    """
+
+    def __init__(self, request_id: str, conn: connection.Connection, head: routes.Head):
+        self.request_id = request_id
+        self.conn = conn
+        self.head = head
+        self.req: requests.Request | None = None
+        self.body = b""
+        self.attempt: attempt.Attempt | None = None
+        self.held: events.StoredAnswer | None = None
+        self.is_committed = False
+        self.is_gone = False
+
+    @property
+    def is_model(self) -> bool:
+        """Whether a model service is asked."""
+        return self.head.endpoint == routes.CHAT
+
+    @property
+    def is_streamed(self) -> bool:
+        """Whether the caller asked for a stream."""
+        return self.req is not None and self.req.is_streamed
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the caller reads too slowly to take more now."""
+        return not self.is_gone and self.conn.is_full
+
+    def begin(self, status: int, fields: headers.Fields) -> None:
+        """Commit to an answer whose length is not known here."""
+        self.is_committed = True
+        self.body = b""
+        if not self.is_gone:
+            self.conn.start_answer(status, (*fields, *self._own_fields()))
+
+    def pass_on(self, data: bytes) -> None:
+        """Send a part of the answer that was begun."""
+        if data and not self.is_gone:
+            self.conn.send(data)
+
+    def finish(self) -> None:
+        """End the answer that was begun."""
+        if not self.is_gone:
+            self.conn.finish()
+
+    def cut(self, refusal: outcomes.Refusal, is_stream: bool) -> None:
+        """End an answer that was begun and can't be finished."""
+        if self.is_gone:
+            return
+        if is_stream:
+            self.conn.send(problems.event_of(refusal, self.request_id))
+        self.conn.cut()
+
+    def answer(self, status: int, fields: headers.Fields, body: bytes) -> None:
+        """Give the whole answer."""
+        if not (self.head.method == "HEAD" and headers.find(fields, LENGTH)):
+            fields = headers.without(fields, LENGTH)
+            fields = (*fields, ("Content-Length", str(len(body))))
+        self.begin(status, fields)
+        if self.head.method != "HEAD":
+            self.pass_on(body)
+        self.finish()
+
+    def refuse(self, refusal: outcomes.Refusal) -> None:
+        """Give the whole answer as a problem."""
+        body = problems.body_of(refusal, self.request_id)
+        self.answer(refusal.status, problems.fields_of(refusal), body)
+
+    def _own_fields(self) -> headers.Fields:
+        own = ((headers.REQUEST_ID, self.request_id),)
+        if self.req is None:
+            return own
+        return (*own, (headers.TRACE_PARENT, self.req.trace_parent))
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/exchanges.py
@@ -0,0 +1,328 @@
+"""The table of open requests: callers on one side, the node's effects on the other."""
+
+import re
+import secrets
+from collections.abc import Callable
+
+from bilberryridge.core import outcomes, requests
+from bilberryridge.decisions import effects, events
+from bilberryridge.transport import (
+    attempt,
+    connection,
+    envelope,
+    errors,
+    exchange,
+    headers,
+    metrics,
+    outgoing,
+    routes,
+    settings,
+    timers,
+)
+from bilberryridge.utilities import transfers
+
+REQUEST_ID_BYTES = 16
+BUSY_RETRY_S = 1.0
+_REQUEST_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
+_RESULT = events.AttemptResult
+
+
+class Exchanges:
+    """Open requests by their id; all methods are for the edge's thread.
+
+    Parameters
+    ----------
+    cfg : settings.EdgeSettings
+    post : Callable
+        Takes events for the node.
+    counters : metrics.Metrics
+    pool : transfers.Transfers
+    alarms : timers.Timers
+    """
+
+    def __init__(
+        self,
+        cfg: settings.EdgeSettings,
+        post: Callable[[events.Event], None],
+        counters: metrics.Metrics,
+        pool: transfers.Transfers,
+        alarms: timers.Timers,
+    ):
+        self._cfg = cfg
+        self._post = post
+        self._counters = counters
+        self._pool = pool
+        self._alarms = alarms
+        self._open: dict[str, exchange.Exchange] = {}
+        self._by_conn: dict[connection.Connection, exchange.Exchange] = {}
+        self._handlers: dict[type, Callable] = {
+            effects.SendAttempt: self._send,
+            effects.CancelAttempt: self._cancel,
+            effects.Refuse: self._refuse,
+            effects.PassAnswer: self._pass_answer,
+            effects.AnswerStored: self._answer_stored,
+            effects.AnswerEntry: self._answer_entry,
+            effects.AnswerModels: self._answer_models,
+        }
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def carry_out(self, effect: effects.Effect) -> None:
+        """Do what the node wants."""
+        self._handlers[type(effect)](effect)
+
+    # What connections say.
+
+    def on_head(self, conn: connection.Connection, head: routes.Head) -> None:
+        """Refuse a relayed request without a proof before its body is read."""
+        if conn.is_relay and not headers.find(head.fields, headers.ENVELOPE_MAC):
+            raise _unproven()
+
+    def on_request(
+        self, conn: connection.Connection, head: routes.Head, body: bytes
+    ) -> None:
+        """Open an exchange and tell the node."""
+        if conn.is_relay:
+            request_id, sent = self._prove(head, body)
+        else:
+            request_id, sent = secrets.token_hex(REQUEST_ID_BYTES), None
+        ex = exchange.Exchange(request_id, conn, head)
+        self._by_conn[conn] = ex
+        if request_id in self._open:
+            self._refuse_twin(ex)
+            return
+        self._open[request_id] = ex
+        if head.endpoint == routes.ENTRY:
+            self._post(events.EntryAsked(request_id, head.caller_digest))
+        elif head.endpoint == routes.MODELS:
+            self._post(events.ModelsAsked(request_id, head.caller_digest))
+        else:
+            self._take_request(ex, body, sent)
+
+    def on_bad_input(
+        self, conn: connection.Connection, refusal: outcomes.Refusal
+    ) -> None:
+        """Refuse what is no request."""
+        self._counters.count("edge_bad_input", (refusal.reason.value,))
+        ex = self._by_conn.get(conn)
+        if ex is None:
+            head = routes.Head("", "", "", "", (), "")
+            ex = exchange.Exchange(secrets.token_hex(REQUEST_ID_BYTES), conn, head)
+        ex.refuse(refusal)
+        self._forget(ex)
+
+    def on_gone(self, conn: connection.Connection) -> None:
+        """The caller left: stop what may be stopped and tell the node."""
+        ex = self._by_conn.pop(conn, None)
+        if ex is None:
+            return
+        ex.is_gone = True
+        self._counters.count("edge_callers_gone")
+        if ex.req is not None:
+            self._post(events.CallerGone(ex.request_id))
+        running = ex.attempt
+        if running is None:
+            self._forget(ex)
+        elif not running.effect.is_once:
+            # What may not repeat goes on, so that a retry finds its outcome.
+            running.abandon()
+            self._end_unanswered(running.effect, _RESULT.CANCELLED)
+            self._forget(ex)
+
+    def on_drained(self, conn: connection.Connection) -> None:
+        """Resume the source of a caller that reads again."""
+        ex = self._by_conn.get(conn)
+        if ex is not None and ex.attempt is not None:
+            ex.attempt.resume()
+
+    # What the node wants.
+
+    def _send(self, effect: effects.SendAttempt) -> None:
+        ex = self._open.get(effect.request_id)
+        if ex is None or ex.req is None or ex.is_gone or ex.attempt or ex.is_committed:
+            self._counters.count("edge_attempts_dropped")
+            self._end_unanswered(effect, _RESULT.NOT_SENT)
+            return
+        ex.held = None
+        ex.attempt = attempt.Attempt(
+            effect,
+            self._order_of(effect, ex),
+            ex,
+            self._cfg.max_held_bytes,
+            self._pool,
+            self._alarms,
+            self._on_begun,
+            self._on_ended,
+        )
+        ex.attempt.start()
+
+    def _cancel(self, effect: effects.CancelAttempt) -> None:
+        ex = self._open.get(effect.request_id)
+        if ex is None or ex.attempt is None:
+            return
+        if ex.attempt.effect.attempt != effect.attempt:
+            return
+        ex.attempt.abandon()
+        ex.attempt = None
+        if ex.is_gone:
+            self._forget(ex)
+
+    def _refuse(self, effect: effects.Refuse) -> None:
+        ex = self._open.get(effect.request_id)
+        if ex is None:
+            return
+        is_stream = ex.is_streamed
+        if ex.attempt is not None:
+            is_stream = ex.attempt.is_stream
+            ex.attempt.abandon()
+            ex.attempt = None
+        self._counters.count("edge_refusals", (effect.refusal.reason.value,))
+        if ex.is_committed:
+            ex.cut(effect.refusal, is_stream)
+        else:
+            ex.refuse(effect.refusal)
+        self._forget(ex)
+
+    def _pass_answer(self, effect: effects.PassAnswer) -> None:
+        ex = self._open.get(effect.request_id)
+        if ex is None:
+            return
+        if ex.held is None:
+            detail = "the backend server's answer could not be kept"
+            reason, outcome = outcomes.Reason.BACKEND_FAILED, outcomes.Outcome.UNKNOWN
+            ex.refuse(outcomes.Refusal(reason, outcome, detail))
+        else:
+            ex.answer(ex.held.status, ex.held.headers, ex.held.body)
+        self._forget(ex)
+
+    def _answer_stored(self, effect: effects.AnswerStored) -> None:
+        answer = effect.answer
+        self._answer(effect.request_id, answer.status, answer.headers, answer.body)
+
+    def _answer_entry(self, effect: effects.AnswerEntry) -> None:
+        body = routes.entry_body(effect)
+        self._answer(effect.request_id, 200, routes.JSON_FIELDS, body)
+
+    def _answer_models(self, effect: effects.AnswerModels) -> None:
+        body = routes.models_body(effect)
+        self._answer(effect.request_id, 200, routes.JSON_FIELDS, body)
+
+    def _answer(
+        self, request_id: str, status: int, fields: headers.Fields, body: bytes
+    ) -> None:
+        ex = self._open.get(request_id)
+        if ex is not None:
+            ex.answer(status, fields, body)
+            self._forget(ex)
+
+    # What attempts say.
+
+    def _on_begun(self, done: attempt.Attempt, waited_s: float) -> None:
+        effect = done.effect
+        self._counters.observe_s("edge_first_content_s", (), waited_s)
+        self._post(events.AttemptBegan(effect.request_id, effect.attempt, waited_s))
+
+    def _on_ended(self, done: attempt.Attempt, ended: events.AttemptEnded) -> None:
+        ex = done.exchange
+        ex.attempt = None
+        self._counters.count("edge_attempts", (ended.result.value,))
+        if ended.is_committed or ex.is_gone:
+            self._forget(ex)
+        self._post(ended)
+
+    # Helpers.
+
+    def _take_request(
+        self, ex: exchange.Exchange, body: bytes, sent: requests.Envelope | None
+    ) -> None:
+        try:
+            ex.req, ex.body = routes.read_request(ex.head, body, ex.request_id, sent)
+        except errors.BadRequestError:
+            self._open.pop(ex.request_id, None)
+            raise
+        self._post(events.RequestArrived(ex.req))
+
+    def _prove(self, head: routes.Head, body: bytes) -> tuple[str, requests.Envelope]:
+        """Check that a daemon of the deployment sent the request."""
+        encoded = headers.find(head.fields, headers.ENVELOPE)
+        request_id = headers.find(head.fields, headers.REQUEST_ID)
+        given = headers.find(head.fields, headers.ENVELOPE_MAC)
+        expected = envelope.mac(
+            self._cfg.shared_key, encoded, request_id, head.method, head.target, body
+        )
+        is_proven = envelope.is_proven(given, expected)
+        if not is_proven or not _REQUEST_ID.fullmatch(request_id):
+            raise _unproven()
+        try:
+            return request_id, envelope.decode(encoded)
+        except errors.EnvelopeError as exc:
+            reason = outcomes.Reason.BAD_REQUEST
+            raise errors.BadRequestError(reason, str(exc)) from exc
+
+    def _refuse_twin(self, ex: exchange.Exchange) -> None:
+        """Refuse a request whose id is open here already, without touching that one."""
+        self._counters.count("edge_twins_refused")
+        reason, outcome = outcomes.Reason.BUSY, outcomes.Outcome.NOT_RUN
+        detail = "a request with this id is open here"
+        ex.refuse(outcomes.Refusal(reason, outcome, detail, BUSY_RETRY_S))
+        self._by_conn.pop(ex.conn, None)
+
+    def _order_of(
+        self, effect: effects.SendAttempt, ex: exchange.Exchange
+    ) -> outgoing.Outgoing:
+        assert ex.req is not None
+        fields = headers.of_request(ex.head.fields)
+        if ex.is_model:
+            # Events of a stream must be readable on their way.
+            fields = headers.without(fields, "accept-encoding")
+        fields = (
+            *fields,
+            (headers.REQUEST_ID, ex.request_id),
+            (headers.TRACE_PARENT, ex.req.trace_parent),
+        )
+        target = ex.req.path
+        if effect.envelope is not None:
+            target = ex.head.target
+            fields = (*fields, *self._proof_of(effect.envelope, ex))
+        return outgoing.Outgoing(
+            address=effect.address,
+            method=ex.head.method,
+            target=target,
+            fields=fields,
+            body=ex.body,
+            deadline_s=effect.deadline_s,
+            first_byte_deadline_s=effect.first_byte_deadline_s,
+            is_once=effect.is_once,
+        )
+
+    def _proof_of(
+        self, sent: requests.Envelope, ex: exchange.Exchange
+    ) -> headers.Fields:
+        encoded = envelope.encode(sent)
+        head = ex.head
+        code = envelope.mac(
+            self._cfg.shared_key,
+            encoded,
+            ex.request_id,
+            head.method,
+            head.target,
+            ex.body,
+        )
+        return ((headers.ENVELOPE, encoded), (headers.ENVELOPE_MAC, code))
+
+    def _end_unanswered(
+        self, effect: effects.SendAttempt, result: events.AttemptResult
+    ) -> None:
+        self._post(events.AttemptEnded(effect.request_id, effect.attempt, result))
+
+    def _forget(self, ex: exchange.Exchange) -> None:
+        if self._open.get(ex.request_id) is ex:
+            del self._open[ex.request_id]
+        if self._by_conn.get(ex.conn) is ex:
+            del self._by_conn[ex.conn]
+
+
+def _unproven() -> errors.BadRequestError:
+    detail = "only daemons of this deployment may ask here"
+    return errors.BadRequestError(outcomes.Reason.UNAUTHENTICATED, detail)
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/outgoing.py
@@ -0,0 +1,92 @@
+"""Set-up of the libcurl transfer of one attempt."""
+
+import time
+
+import attrs
+import pycurl
+
+from bilberryridge.transport import headers
+
+MIN_TIMEOUT_MS = 1
+
+
+@attrs.frozen
+class Outgoing:
+    """A request as it goes out.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    method, target : str
+    fields : tuple of (str, str)
+    body : bytes
+    deadline_s, first_byte_deadline_s : float
+        Monotonic.
+    is_once : bool
+        Whether it must be sent at most once.
+    """
+
+    address: str
+    method: str
+    target: str
+    fields: headers.Fields
+    body: bytes
+    deadline_s: float
+    first_byte_deadline_s: float
+    is_once: bool
+
+
+def make_curl(order: Outgoing) -> pycurl.Curl:
+    """Make the transfer, without its callbacks."""
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, f"http://{order.address}/")
+    curl.setopt(pycurl.REQUEST_TARGET, order.target)
+    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    # The environment must not lead requests through a proxy.
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.NOPROXY, "*")
+    curl.setopt(pycurl.FOLLOWLOCATION, 0)
+    curl.setopt(pycurl.HTTP09_ALLOWED, 0)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.TCP_NODELAY, 1)
+    _set_body(curl, order)
+    curl.setopt(pycurl.HTTPHEADER, _lines(order.fields))
+    _set_deadlines(curl, order)
+    if order.is_once:
+        # A kept connection that proves dead makes libcurl send the request again.
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+    return curl
+
+
+# libcurl would add these; an `Expect` that is refused makes it send again.
+_ADDED_BY_LIBCURL = ("Expect", "User-Agent", "Accept", "Content-Type")
+
+
+def _lines(fields: headers.Fields) -> list[str]:
+    lines = [f"{name}: {value}" if value else f"{name};" for name, value in fields]
+    given = {name.lower() for name, _value in fields}
+    return lines + [f"{x}:" for x in _ADDED_BY_LIBCURL if x.lower() not in given]
+
+
+def _set_body(curl: pycurl.Curl, order: Outgoing) -> None:
+    if order.method == "HEAD":
+        curl.setopt(pycurl.NOBODY, 1)
+        return
+    if order.body or order.method in ("POST", "PUT", "PATCH"):
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDS, order.body)
+    curl.setopt(pycurl.CUSTOMREQUEST, order.method)
+
+
+def _set_deadlines(curl: pycurl.Curl, order: Outgoing) -> None:
+    now_s = time.monotonic()
+    first_s = min(order.first_byte_deadline_s, order.deadline_s)
+    curl.setopt(pycurl.TIMEOUT_MS, _timeout_ms(order.deadline_s - now_s))
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, _timeout_ms(first_s - now_s))
+
+
+def _timeout_ms(left_s: float) -> int:
+    # Zero would mean no limit.
+    return max(MIN_TIMEOUT_MS, int(left_s * 1e3))
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/prompts.py
@@ -0,0 +1,137 @@
+"""What the decisions need to know of a model request's prompt."""
+
+import hashlib
+import json
+from typing import Any
+
+import attrs
+
+from bilberryridge.core import outcomes, requests
+from bilberryridge.transport import errors
+
+BLOCK_BYTES = 256
+MAX_BLOCKS = 32
+BYTES_PER_TOKEN = 4
+LONG_ANSWER_TOKENS = 512
+DEFAULT_OUTPUT_TOKENS = 256
+DIGEST_BYTES = 8
+
+
+@attrs.frozen
+class Prompt:
+    """A model request, read.
+
+    Parameters
+    ----------
+    model : str
+    is_streamed : bool
+    priority : requests.Priority
+    n_prompt_tokens, n_output_tokens : int
+        Estimated.
+    prefix_digests : tuple of int
+        The shortest prefix first.
+    body : bytes
+        JSON with the priority written into it.
+    """
+
+    model: str
+    is_streamed: bool
+    priority: requests.Priority
+    n_prompt_tokens: int
+    n_output_tokens: int
+    prefix_digests: tuple[int, ...]
+    body: bytes
+
+
+def read(body: bytes) -> Prompt:
+    """Read the body of a chat completion request.
+
+    Raises
+    ------
+    errors.BadRequestError
+    """
+    fields = _object_of(body)
+    model = fields.get("model")
+    messages = fields.get("messages")
+    if not isinstance(model, str) or not model:
+        raise _bad("`model` must be a name")
+    if not isinstance(messages, list) or not messages:
+        raise _bad("`messages` must be a list that is not empty")
+    text = _text_of(messages)
+    n_output_tokens = _n_output_tokens(fields)
+    priority = _priority_of(fields, n_output_tokens)
+    fields["priority"] = priority.value
+    return Prompt(
+        model=model,
+        is_streamed=fields.get("stream") is True,
+        priority=priority,
+        n_prompt_tokens=len(text) // BYTES_PER_TOKEN,
+        n_output_tokens=n_output_tokens,
+        prefix_digests=prefix_digests(text),
+        body=json.dumps(fields, separators=(",", ":")).encode(),
+    )
+
+
+def prefix_digests(text: bytes) -> tuple[int, ...]:
+    """Digest each prefix of the text that ends at a block boundary.
+
+    Examples
+    --------
+    >>> one, two = prefix_digests(b"a" * 600)
+    >>> prefix_digests(b"a" * 300 + b"b" * 300)[0] == one
+    True
+    """
+    digests = []
+    before = b""
+    n_blocks = min(len(text) // BLOCK_BYTES, MAX_BLOCKS)
+    for start in range(0, n_blocks * BLOCK_BYTES, BLOCK_BYTES):
+        block = text[start : start + BLOCK_BYTES]
+        before = hashlib.blake2b(before + block, digest_size=DIGEST_BYTES).digest()
+        digests.append(int.from_bytes(before, "big"))
+    return tuple(digests)
+
+
+def _object_of(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
+        raise _bad("the body is not JSON") from exc
+    if not isinstance(fields, dict):
+        raise _bad("the body is not a JSON object")
+    return fields
+
+
+def _refuse_constant(text: str) -> None:
+    raise ValueError(f"{text} is not JSON")
+
+
+def _text_of(messages: list) -> bytes:
+    """The same text for the same messages, however their JSON was written."""
+    parts = []
+    for message in messages:
+        if not isinstance(message, dict):
+            raise _bad("each of `messages` must be an object")
+        content = message.get("content")
+        if not isinstance(content, str):
+            content = json.dumps(content, separators=(",", ":"), sort_keys=True)
+        parts.append(f"{message.get('role')}\n{content}\n")
+    return "".join(parts).encode(errors="surrogatepass")
+
+
+def _n_output_tokens(fields: dict[str, Any]) -> int:
+    wanted = fields.get("max_completion_tokens", fields.get("max_tokens"))
+    if wanted is None:
+        return DEFAULT_OUTPUT_TOKENS
+    if type(wanted) is not int or wanted < 0:
+        raise _bad("`max_tokens` must be a whole number")
+    return wanted
+
+
+def _priority_of(fields: dict[str, Any], n_output_tokens: int) -> requests.Priority:
+    if fields.get("service_tier") == "flex" or n_output_tokens > LONG_ANSWER_TOKENS:
+        return requests.Priority.LONG
+    return requests.Priority.QUICK
+
+
+def _bad(detail: str) -> errors.BadRequestError:
+    return errors.BadRequestError(outcomes.Reason.BAD_REQUEST, detail)
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/timers.py
@@ -0,0 +1,66 @@
+"""Deadlines of one task, kept in a heap."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+Action = Callable[[], None]
+
+
+class Timer:
+    """An action that is due at a monotonic time, unless cancelled before."""
+
+    __slots__ = ("_action",)
+
+    def __init__(self, action: Action):
+        self._action: Action | None = action
+
+    def replace(self, action: Action) -> None:
+        """Do something else when it is due."""
+        self._action = action
+
+    def cancel(self) -> None:
+        """Never run the action."""
+        self._action = None
+
+    def fire(self) -> None:
+        """Run the action if it was neither run nor cancelled."""
+        action, self._action = self._action, None
+        if action is not None:
+            action()
+
+
+class Timers:
+    """All timers of a task; methods are for that task's thread.
+
+    Examples
+    --------
+    >>> timers = Timers()
+    >>> late = timers.at(2.0, lambda: print("late"))
+    >>> early = timers.at(1.0, lambda: print("early"))
+    >>> late.cancel()
+    >>> timers.run_due(3.0)
+    early
+    """
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+
+    def at(self, at_s: float, action: Action) -> Timer:
+        """Run `action` at the monotonic time `at_s`."""
+        timer = Timer(action)
+        heapq.heappush(self._heap, (at_s, next(self._order), timer))
+        return timer
+
+    def timeout_s(self, now_s: float, longest_s: float) -> float:
+        """How long the selector may wait."""
+        if not self._heap:
+            return longest_s
+        return min(longest_s, max(0.0, self._heap[0][0] - now_s))
+
+    def run_due(self, now_s: float) -> None:
+        """Run every action that is due."""
+        while self._heap and self._heap[0][0] <= now_s:
+            timer = heapq.heappop(self._heap)[2]
+            timer.fire()
