--- a/packages/transport/bilberryridge/transport/attempt.py
+++ b/packages/transport/bilberryridge/transport/attempt.py
@@ -1,7 +1,7 @@
 """One attempt: a libcurl transfer whose answer goes to an exchange."""
 
 import time
-from collections.abc import Callable
+from typing import Protocol
 
 import pycurl
 
@@ -25,7 +25,18 @@
 REFUSE_DATA = -1
 """What a callback returns to make libcurl give the transfer and its connection up."""
 
-Report = Callable[["Attempt", events.AttemptEnded], None]
+
+class Owner(Protocol):
+    """What an attempt tells the one that started it."""
+
+    def on_begun(self, running: "Attempt", waited_s: float) -> None:
+        """Note that the answer is committed, and how long it took to begin."""
+
+    def on_paused(self, running: "Attempt") -> None:
+        """Note that the caller reads too slowly."""
+
+    def on_ended(self, running: "Attempt", ended: events.AttemptEnded) -> None:
+        """Take the one report; none follows an attempt that was abandoned."""
 
 
 class Attempt:
@@ -40,10 +51,7 @@
     max_held_bytes : int
     pool : transfers.Transfers
     alarms : timers.Timers
-    on_begun : Callable
-        Called with the attempt and the seconds it waited when it is committed.
-    on_ended : Callable
-        Called once at the end, unless the attempt is abandoned.
+    owner : Owner
     """
 
     def __init__(
@@ -54,8 +62,7 @@
         max_held_bytes: int,
         pool: transfers.Transfers,
         alarms: timers.Timers,
-        on_begun: Callable[["Attempt", float], None],
-        on_ended: Report,
+        owner: Owner,
     ):
         self.effect = effect
         self.exchange = ex
@@ -64,8 +71,7 @@
         self._max_held_bytes = max_held_bytes
         self._pool = pool
         self._alarms = alarms
-        self._on_begun = on_begun
-        self._on_ended = on_ended
+        self._owner = owner
         self._head = answers.AnswerHead()
         self._stream: wholeness.EventStream | None = None
         self._held = bytearray()
@@ -126,6 +132,7 @@
         if self._is_committed:
             if self.exchange.is_full:
                 self.is_paused = True
+                self._owner.on_paused(self)
                 return pycurl.WRITEFUNC_PAUSE
             if self._stream is not None:
                 chunk = self._stream.feed(chunk)
@@ -163,7 +170,7 @@
         if self._stream is not None:
             fields = headers.without(fields, exchange.LENGTH)
         self._is_committed = True
-        self._on_begun(self, time.monotonic() - self._started_s)
+        self._owner.on_begun(self, time.monotonic() - self._started_s)
         self.exchange.begin(self._head.status, fields)
         self.exchange.pass_on(bytes(self._held))
         self._held.clear()
@@ -205,7 +212,7 @@
             answer=self._stored(answer) if is_kept else None,
             n_output_tokens=self._n_output_tokens(),
         )
-        self._on_ended(self, ended)
+        self._owner.on_ended(self, ended)
 
     def _end_committed(self, result: events.AttemptResult) -> None:
         if result is events.AttemptResult.WHOLE:
@@ -223,7 +230,7 @@
         fields = headers.of_answer(self._head.fields, self._is_daemon)
         answer = events.StoredAnswer(self._head.status, fields, bytes(self._held))
         if result is events.AttemptResult.WHOLE:
-            self._on_begun(self, time.monotonic() - self._started_s)
+            self._owner.on_begun(self, time.monotonic() - self._started_s)
             self.exchange.answer(answer.status, answer.headers, answer.body)
         elif result in (events.AttemptResult.FAILED, events.AttemptResult.REFUSED):
             self.exchange.held = answer
--- a/packages/transport/bilberryridge/transport/exchanges.py
+++ b/packages/transport/bilberryridge/transport/exchanges.py
@@ -152,8 +152,7 @@
             self._cfg.max_held_bytes,
             self._pool,
             self._alarms,
-            self._on_begun,
-            self._on_ended,
+            self,
         )
         ex.attempt.start()
 
@@ -218,13 +217,19 @@
 
     # What attempts say.
 
-    def _on_begun(self, done: attempt.Attempt, waited_s: float) -> None:
-        effect = done.effect
+    def on_begun(self, running: attempt.Attempt, waited_s: float) -> None:
+        """Tell the node that the answer is committed."""
+        effect = running.effect
         self._counters.observe_s("edge_first_content_s", (), waited_s)
         self._post(events.AttemptBegan(effect.request_id, effect.attempt, waited_s))
 
-    def _on_ended(self, done: attempt.Attempt, ended: events.AttemptEnded) -> None:
-        ex = done.exchange
+    def on_paused(self, running: attempt.Attempt) -> None:
+        """Count a caller that reads too slowly."""
+        self._counters.count("edge_pauses")
+
+    def on_ended(self, running: attempt.Attempt, ended: events.AttemptEnded) -> None:
+        """Tell the node, and close the exchange if nothing can follow."""
+        ex = running.exchange
         ex.attempt = None
         self._counters.count("edge_attempts", (ended.result.value,))
         if ended.is_committed or ex.is_gone:
--- a/packages/transport/bilberryridge/transport/routes.py
+++ b/packages/transport/bilberryridge/transport/routes.py
@@ -114,9 +114,7 @@
         body_digest=_body_digest(head.method, service, path, body),
         n_body_bytes=len(body),
         envelope=envelope,
-        trace_parent=traces.next_parent(
-            headers.find(head.fields, headers.TRACE_PARENT)
-        ),
+        trace_parent=trace_parent,
     )
     if prompt is not None:
         req = attrs.evolve(
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/tests/test_attempts.py
@@ -0,0 +1,247 @@
+"""Contract of an attempt: what each fault of a backend server becomes.
+
+Each case plays a fault at a scripted backend server; requests are counted there and
+answers are compared at the caller.
+"""
+
+import json
+import socket
+import threading
+
+import pytest
+
+from bilberryridge.decisions import events
+from bilberryridge.transport.tests import rig, scripted_backend
+from bilberryridge.transport.tests.scripted_backend import (
+    DONE,
+    LAST_CHUNK,
+    STREAM_HEAD,
+    delta,
+    event,
+    plain,
+)
+
+RESULT = events.AttemptResult
+CHAT = ("POST", "/v1/chat/completions", rig.chat_body())
+PLAIN_CHAT = ("POST", "/v1/chat/completions", rig.chat_body(is_streamed=False))
+BOOK = ("POST", "/services/desk/book", b"maples")
+LOOKUP = ("GET", "/services/desk/stock?item=1", b"")
+
+BLANK_CHAT = json.dumps({"choices": [{"message": {"role": "assistant"}}]}).encode()
+GOOD_CHAT = json.dumps({"choices": [{"message": {"content": "six"}}]}).encode()
+ROLE = event('{"choices":[{"delta":{"role":"assistant","content":""}}]}')
+OTHER_ID = b"X-Request-Id: of-another\r\n"
+OVER_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsix"
+
+# Name, request, whether once, what the server sends before it closes, the result, the
+# caller's status, whether the caller sees a whole answer.
+FAULTS = [
+    ("whole lookup", LOOKUP, False, plain(b"6"), RESULT.WHOLE, 200, True),
+    ("whole chat", PLAIN_CHAT, False, plain(GOOD_CHAT), RESULT.WHOLE, 200, True),
+    ("client error", LOOKUP, False, plain(b"no", 404), RESULT.WHOLE, 404, True),
+    ("blank lookup", LOOKUP, False, plain(b" "), RESULT.LOST, 502, True),
+    ("empty lookup", LOOKUP, False, plain(b""), RESULT.LOST, 502, True),
+    ("blank chat", PLAIN_CHAT, False, plain(BLANK_CHAT), RESULT.LOST, 502, True),
+    ("short body", LOOKUP, False, OVER_ANSWER, RESULT.LOST, 502, True),
+    ("no answer", LOOKUP, False, b"", RESULT.LOST, 502, True),
+    ("no length", LOOKUP, False, b"HTTP/1.1 200 OK\r\n\r\n6", RESULT.LOST, 502, True),
+    ("no HTTP", LOOKUP, False, b"six\r\n\r\n", RESULT.LOST, 502, True),
+    ("crossed", LOOKUP, False, plain(b"6", 200, OTHER_ID), RESULT.LOST, 502, True),
+    ("full", LOOKUP, False, plain(b"", 503), RESULT.REFUSED, 503, True),
+    ("failed", LOOKUP, False, plain(b"oh", 500), RESULT.FAILED, 500, True),
+    ("once: whole", BOOK, True, plain(b"booked"), RESULT.WHOLE, 200, True),
+    ("once: full", BOOK, True, plain(b"", 503), RESULT.FAILED, 503, True),
+    ("once: 429", BOOK, True, plain(b"", 429), RESULT.FAILED, 429, True),
+    ("once: no answer", BOOK, True, b"", RESULT.LOST, 502, True),
+    ("once: short", BOOK, True, OVER_ANSWER, RESULT.LOST, 502, True),
+    ("stream", CHAT, False, [ROLE, delta("a"), DONE], RESULT.WHOLE, 200, True),
+    ("blank stream", CHAT, False, [ROLE, DONE], RESULT.LOST, 502, True),
+    ("cut before content", CHAT, False, [ROLE], RESULT.LOST, 502, True),
+    ("cut after content", CHAT, False, [delta("a")], RESULT.LOST, 200, False),
+    ("no end marker", CHAT, False, [delta("a"), LAST_CHUNK], RESULT.LOST, 200, False),
+    ("marker in text", CHAT, False, [delta("data: [DONE]")], RESULT.LOST, 200, False),
+]
+
+
+@pytest.mark.parametrize("case", FAULTS, ids=[case[0] for case in FAULTS])
+def test_each_fault_becomes_its_result(case):
+    _name, asked, is_once, sent, result, status, is_whole = case
+    is_stream = isinstance(sent, list)
+    if is_stream:
+        sent = STREAM_HEAD + b"".join(sent)
+        sent += LAST_CHUNK if DONE in sent else b""
+
+    def script(turn):
+        turn.send(sent)
+        turn.close()
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address, is_once=is_once)
+        with rig.open_rig(node) as running:
+            answer = running.caller().ask(*asked)
+            ended = node.wait_for(events.AttemptEnded)
+    assert ended.result is result
+    assert (answer.status, answer.is_whole) == (status, is_whole)
+    assert backend.n_requests(asked[0]) == 1
+    if is_stream and not is_whole:
+        assert b"event: error" in answer.body
+        assert b"\ndata: [DONE]" not in answer.body
+
+
+def test_a_stream_reaches_the_caller_byte_for_byte_event_by_event():
+    text = b'data: {"choices":[{"delta":{"content":"a"}}]}\n\ndata: [DONE]\n\n'
+
+    def script(turn):
+        turn.send(STREAM_HEAD)
+        for byte in text:
+            turn.send(scripted_backend.chunk(bytes([byte])))
+        turn.send(LAST_CHUNK)
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            answer = running.caller().ask(*CHAT)
+    assert (answer.body, answer.is_whole) == (text, True)
+    assert node.wait_for(events.AttemptEnded).n_output_tokens == 1
+
+
+def test_a_connection_never_made_is_not_sent():
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        address = "{}:{}".format(*closed.getsockname())
+    node = rig.Node(address, is_once=True)
+    with rig.open_rig(node) as running:
+        answer = running.caller().ask(*BOOK)
+        assert node.wait_for(events.AttemptEnded).result is RESULT.NOT_SENT
+    assert answer.status == 503
+    assert answer.fields["bilberryridge-outcome"] == "not_run"
+    assert answer.fields["retry-after"] == "2"
+
+
+def test_nothing_leaves_after_the_deadline():
+    with scripted_backend.open_backend(lambda turn: None) as backend:
+        node = rig.Node(backend.address, deadline_s=-1.0, is_once=True)
+        with rig.open_rig(node) as running:
+            running.caller().ask(*BOOK)
+            assert node.wait_for(events.AttemptEnded).result is RESULT.NOT_SENT
+        assert backend.n_requests("POST") == 0
+
+
+def test_what_may_not_repeat_is_sent_once_though_a_kept_connection_proves_dead():
+    def script(turn):
+        if turn.method == "GET":
+            turn.send(plain(b"6"))
+        else:
+            turn.close()
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            caller.ask(*LOOKUP)
+            node.is_once = True
+            assert caller.ask(*BOOK).status == 502
+            assert node.wait_for(events.AttemptEnded, 2).result is RESULT.LOST
+        assert backend.n_requests("POST") == 1
+
+
+def test_the_connection_of_a_late_answer_is_not_used_again():
+    is_late = threading.Event()
+
+    def script(turn):
+        if turn.target == "/late":
+            is_late.wait(rig.GENEROUS_S)
+            turn.send(plain(b"late"))
+        else:
+            turn.send(plain(turn.target.encode()))
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            assert caller.ask("GET", "/services/desk/a").body == b"/a"
+            node.first_byte_s = 0.2
+            assert caller.ask("GET", "/services/desk/late").status == 502
+            assert node.wait_for(events.AttemptEnded, 2).result is RESULT.TIMED_OUT
+            node.first_byte_s = rig.GENEROUS_S
+            is_late.set()
+            for n in range(5):
+                body = caller.ask("GET", f"/services/desk/{n}").body
+                assert body == b"/%d" % n
+
+
+def test_a_whole_answer_that_may_not_repeat_is_reported_for_retries():
+    large = b"x" * 20_000
+    for body, kept in ((b"booked", b"booked"), (large, b"")):
+        with scripted_backend.open_backend(
+            lambda turn, sent=body: turn.send(plain(sent))
+        ) as backend:
+            node = rig.Node(backend.address, is_once=True)
+            with rig.open_rig(node) as running:
+                assert running.caller().ask(*BOOK).body == body
+                answer = node.wait_for(events.AttemptEnded).answer
+        assert (answer.status, answer.body) == (200, kept)
+        assert (("Bilberryridge-Body-Kept", "no") in answer.headers) == (kept != body)
+
+
+def test_a_caller_that_leaves_frees_the_backend_server_but_not_what_may_not_repeat():
+    freed = []
+
+    def script(turn):
+        if turn.method == "GET":
+            freed.append(turn.wait_for_close())
+        else:
+            node.wait_for(events.CallerGone, 2)
+            turn.send(plain(b"booked"))
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            caller.send(*LOOKUP)
+            wait_until(lambda: backend.turns)
+            caller.sock.close()
+            ended = node.wait_for(events.AttemptEnded)
+            assert ended.result is RESULT.CANCELLED
+            wait_until(lambda: freed)
+            assert freed == [True]
+            node.is_once = True
+            caller = running.caller()
+            caller.send(*BOOK)
+            wait_until(lambda: len(backend.turns) == 2)
+            caller.sock.close()
+            ended = node.wait_for(events.AttemptEnded, 2)
+            assert ended.result is RESULT.WHOLE
+            assert ended.answer.body == b"booked"
+
+
+def test_a_slow_caller_pauses_its_stream():
+    n_events, n_sent = 400, []
+    content = "y" * 50_000
+
+    def script(turn):
+        turn.send(STREAM_HEAD)
+        for _ in range(n_events):
+            turn.send(delta(content))
+            n_sent.append(1)
+        turn.send(DONE + LAST_CHUNK)
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            caller.send(*CHAT)
+            wait_until(lambda: running.counters.counts.get(("edge_pauses",)))
+            assert len(n_sent) < n_events
+            answer = caller.read()
+    assert answer.is_whole
+    assert answer.body.count(content.encode()) == n_events
+
+
+def wait_until(is_true) -> None:
+    """Wait for a condition that another thread brings about."""
+    waiting = threading.Event()
+    for _ in range(int(rig.GENEROUS_S * 100)):
+        if is_true():
+            return
+        waiting.wait(0.01)
+    raise AssertionError("the condition did not come about")
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/tests/test_edge.py
@@ -0,0 +1,280 @@
+"""Contract of the callers' port and the relay port."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from bilberryridge.core import requests
+from bilberryridge.decisions import effects, events
+from bilberryridge.transport import envelope
+from bilberryridge.transport.tests import rig, scripted_backend
+from bilberryridge.transport.tests.scripted_backend import (
+    DONE,
+    LAST_CHUNK,
+    STREAM_HEAD,
+    delta,
+    plain,
+)
+
+LIMITS = {
+    "max_head_bytes": 4096,
+    "max_body_bytes": 1000,
+    "head_deadline_s": 0.3,
+    "body_deadline_s": 0.3,
+}
+HOST = b"Host: a\r\n"
+POST = b"POST /services/desk/a HTTP/1.1\r\n" + HOST
+CHAT = b"POST /v1/chat/completions HTTP/1.1\r\n" + HOST
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+def sized(head: bytes, body: bytes) -> bytes:
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+BAD_INPUTS = [
+    ("huge head", POST + b"X-A: " + b"x" * 5000, 413, "too-large"),
+    ("huge body declared", POST + b"Content-Length: 1001\r\n\r\n", 413, "too-large"),
+    (
+        "huge body in chunks",
+        POST + CHUNKED + b"\r\n" + scripted_backend.chunk(b"x" * 600) * 2,
+        413,
+        "too-large",
+    ),
+    ("slow head", POST, 408, "too-slow"),
+    ("slow body", POST + b"Content-Length: 5\r\n\r\nab", 408, "too-slow"),
+    ("bad chunk", POST + CHUNKED + b"\r\nzz\r\n", 400, "bad-request"),
+    (
+        "two lengths",
+        POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        400,
+        "bad-request",
+    ),
+    (
+        "length and chunks",
+        POST + CHUNKED + b"Content-Length: 1\r\n\r\n1\r\na\r\n0\r\n\r\n",
+        400,
+        "bad-request",
+    ),
+    ("no HTTP", b"hello\r\n\r\n", 400, "bad-request"),
+    ("no host", b"GET /v1/models HTTP/1.1\r\n\r\n", 400, "bad-request"),
+    ("unknown path", b"GET /x HTTP/1.1\r\n" + HOST + b"\r\n", 404, "unknown-service"),
+    (
+        "escape from a service",
+        b"GET /services/%2e%2e/x HTTP/1.1\r\n" + HOST + b"\r\n",
+        404,
+        "unknown-service",
+    ),
+    ("method", b"PUT /v1/models HTTP/1.1\r\n" + HOST + b"\r\n", 400, "bad-request"),
+    ("no JSON", sized(CHAT, b"{"), 400, "bad-request"),
+    ("no model", sized(CHAT, b'{"messages":[]}'), 400, "bad-request"),
+    ("deep JSON", sized(CHAT, b"[" * 999), 400, "bad-request"),
+]
+
+
+@pytest.mark.parametrize("case", BAD_INPUTS, ids=[case[0] for case in BAD_INPUTS])
+def test_bad_input_is_refused_and_counted_and_nothing_is_asked(case):
+    _name, sent, status, reason = case
+    node = rig.Node("127.0.0.1:1")
+    with rig.open_rig(node, **LIMITS) as running:
+        caller = running.caller()
+        caller.send_raw(sent)
+        answer = caller.read()
+        assert running.counters.counts == {("edge_bad_input", reason): 1}
+    assert (answer.status, answer.is_whole) == (status, True)
+    assert answer.problem["type"] == "urn:bilberryridge:problem:" + reason
+    assert answer.problem["outcome"] == answer.fields["bilberryridge-outcome"]
+    assert answer.problem["outcome"] == "not_run"
+    assert node.seen == []
+
+
+ENVELOPE = requests.Envelope(("a",), "growers", 5.0, 7)
+
+
+def relay_fields(target: str, body: bytes, key: bytes, request_id: str = "r1"):
+    encoded = envelope.encode(ENVELOPE)
+    code = envelope.mac(key, encoded, request_id, "POST", target, body)
+    return [
+        ("X-Request-Id", request_id),
+        ("Bilberryridge-Envelope", encoded),
+        ("Bilberryridge-Envelope-Mac", code),
+    ]
+
+
+TARGET = "/services/desk/a"
+GOOD_PROOF = relay_fields(TARGET, b"ab", rig.SHARED_KEY)
+UNPROVEN = [
+    ("nothing", [], b"ab"),
+    ("another key", relay_fields(TARGET, b"ab", b"other"), b"ab"),
+    ("another body", GOOD_PROOF, b"ac"),
+    ("another target", relay_fields("/services/x", b"ab", rig.SHARED_KEY), b"ab"),
+    ("another id", [("X-Request-Id", "r2"), *GOOD_PROOF[1:]], b"ab"),
+    ("no proof", GOOD_PROOF[:2], b"ab"),
+]
+
+
+@pytest.mark.parametrize("case", UNPROVEN, ids=[case[0] for case in UNPROVEN])
+def test_the_relay_port_refuses_what_no_daemon_proved(case):
+    _name, fields, body = case
+    node = rig.Node("127.0.0.1:1")
+    with rig.open_rig(node) as running:
+        caller = rig.Caller(running.edge.relay_address)
+        assert caller.ask("POST", TARGET, body, fields).status == 401
+    assert node.seen == []
+
+
+def test_a_request_goes_through_two_daemons_with_its_id_and_without_the_token():
+    def script(turn):
+        turn.send(plain(b"booked", 200, b"Bilberryridge-Outcome: not_run\r\n"))
+
+    with scripted_backend.open_backend(script) as backend:
+        inner = rig.Node(backend.address)
+        with rig.open_rig(inner) as second:
+            relay = "{}:{}".format(*second.edge.relay_address)
+            outer = rig.Node(relay, envelope=ENVELOPE)
+            with rig.open_rig(outer) as first:
+                token = [("Authorization", "Bearer t"), ("Idempotency-Key", "k")]
+                answer = first.caller().ask("POST", TARGET, b"ab", token)
+    sent_on = inner.wait_for(events.RequestArrived).req
+    arrived = outer.wait_for(events.RequestArrived).req
+    assert (answer.status, answer.body) == (200, b"booked")
+    assert "bilberryridge-outcome" not in answer.fields
+    assert sent_on.envelope == ENVELOPE
+    assert sent_on.request_id == arrived.request_id == answer.fields["x-request-id"]
+    assert sent_on.body_digest == arrived.body_digest
+    assert (arrived.caller_digest != "", sent_on.caller_digest) == (True, "")
+    assert sent_on.trace_parent[:35] == arrived.trace_parent[:35]
+    (turn,) = backend.turns
+    assert (turn.target, turn.body) == ("/a", b"ab")
+    assert turn.fields["idempotency-key"] == "k"
+    assert not any(name.startswith("bilberryridge") for name in turn.fields)
+    assert "authorization" not in turn.fields
+
+
+def test_a_daemons_not_run_is_refused_and_its_id_is_not_open_twice():
+    node = rig.Node("127.0.0.1:1", is_answering=False)
+    with rig.open_rig(node) as running:
+        first, second = (rig.Caller(running.edge.relay_address) for _ in range(2))
+        first.send("POST", TARGET, b"ab", GOOD_PROOF)
+        node.wait_for(events.RequestArrived)
+        twin = second.ask("POST", TARGET, b"ab", GOOD_PROOF)
+        assert (twin.status, twin.problem["outcome"]) == (503, "not_run")
+        running.edge.put(effects.Refuse("r1", rig.NOT_RUN))
+        assert first.read().problem["request_id"] == "r1"
+
+
+def test_entry_models_and_stored_answers_are_given_as_the_node_says():
+    node = rig.Node("127.0.0.1:1", is_answering=False)
+    with rig.open_rig(node) as running:
+        caller = running.caller()
+        caller.send("GET", "/v1/entry", fields=[("Authorization", "Bearer t")])
+        asked = node.wait_for(events.EntryAsked)
+        vm = effects.EntryVm("vm", "d", "r", "127.0.0.1:8080")
+        entry = effects.AnswerEntry(asked.request_id, (vm,), 3.0, "p", 2.0)
+        running.edge.put(entry)
+        assert caller.read().problem == {
+            "entry_vms": [
+                {
+                    "vm": "vm",
+                    "domain": "d",
+                    "region": "r",
+                    "url": "http://127.0.0.1:8080",
+                }
+            ],
+            "holds_s": 3.0,
+            "key_prefix": "p",
+            "key_prefix_holds_s": 2.0,
+        }
+        caller.parser.start_next_cycle()
+        caller.send("GET", "/v1/models")
+        asked = node.wait_for(events.ModelsAsked)
+        running.edge.put(effects.AnswerModels(asked.request_id, ("m",)))
+        assert [model["id"] for model in caller.read().problem["data"]] == ["m"]
+        caller.parser.start_next_cycle()
+        caller.send("POST", TARGET, b"ab")
+        arrived = node.wait_for(events.RequestArrived)
+        stored = events.StoredAnswer(201, (("X-A", "b"),), b"booked")
+        running.edge.put(effects.AnswerStored(arrived.req.request_id, stored))
+        answer = caller.read()
+        assert (answer.status, answer.fields["x-a"], answer.body) == (
+            201,
+            "b",
+            b"booked",
+        )
+
+
+def test_pipelined_requests_are_answered_in_order():
+    def script(turn):
+        turn.send(plain(turn.target.encode()))
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            ask = b"GET /services/desk/%d HTTP/1.1\r\nHost: a\r\n\r\n"
+            caller.send_raw(b"".join(ask % n for n in range(5)))
+            bodies = []
+            for _ in range(5):
+                caller.parser.send(
+                    rig.h11.Request(method="GET", target="/", headers=[("Host", "a")])
+                )
+                caller.parser.send(rig.h11.EndOfMessage())
+                bodies.append(caller.read().body)
+                caller.parser.start_next_cycle()
+    assert bodies == [b"/%d" % n for n in range(5)]
+
+
+def test_connections_over_a_limit_are_refused_at_once_and_places_come_back():
+    node = rig.Node("127.0.0.1:1")
+    with rig.open_rig(node, max_connections_per_address=1) as running:
+        first, second = running.caller(), running.caller()
+        second.send_raw(b"GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n")
+        answer = second.read()
+        assert (answer.status, answer.problem["outcome"]) == (503, "not_run")
+        assert answer.fields["retry-after"] == "1"
+        first.sock.close()
+        give_up_s = time.monotonic() + rig.GENEROUS_S
+        while running.caller().ask("GET", TARGET).problem["type"].endswith("busy"):
+            assert time.monotonic() < give_up_s
+
+
+def test_a_stop_ends_idle_connections_and_finishes_open_streams():
+    go_on = threading.Event()
+
+    def script(turn):
+        turn.send(STREAM_HEAD + delta("a"))
+        go_on.wait(rig.GENEROUS_S)
+        turn.send(delta("b") + DONE + LAST_CHUNK)
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            idle, busy = running.caller(), running.caller()
+            busy.send("POST", "/v1/chat/completions", rig.chat_body())
+            node.wait_for(events.AttemptBegan)
+            running.edge.stop_accepting()
+            assert idle.sock.recv(1) == b""
+            with pytest.raises(ConnectionError):
+                socket.create_connection(running.edge.caller_address)
+            go_on.set()
+            answer = busy.read()
+            assert answer.is_whole
+            assert answer.body.endswith(b"data: [DONE]\n\n")
+            assert busy.sock.recv(1) == b""
+
+
+def test_closing_waits_for_a_caller_that_still_reads():
+    body = b"x" * 900_000
+
+    with scripted_backend.open_backend(lambda turn: turn.send(plain(body))) as backend:
+        node = rig.Node(backend.address)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            caller.send("GET", TARGET)
+            node.wait_for(events.AttemptEnded)
+            running.edge.close()
+            assert caller.read().body == body
+            running.running.result(rig.GENEROUS_S)
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/tests/test_wholeness.py
@@ -0,0 +1,35 @@
+import itertools
+
+from bilberryridge.transport import wholeness
+
+CONTENT = b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
+END = b"data: [DONE]\n\n"
+
+
+def test_a_stream_is_read_alike_wherever_it_is_cut():
+    for text in (CONTENT + CONTENT + END, (CONTENT + END).replace(b"\n", b"\r\n")):
+        for first, second in itertools.combinations(range(len(text)), 2):
+            stream = wholeness.EventStream(has_content=True)
+            parts = (text[:first], text[first:second], text[second:])
+            assert b"".join(stream.feed(part) for part in parts) == text
+            assert stream.is_begun
+            assert stream.is_ended
+            assert stream.n_events == text.count(b"content")
+
+
+def test_an_end_marker_within_a_text_ends_nothing():
+    for text in (
+        b'data: {"a":"data: [DONE]"}\n\n',
+        b"data: [DONE]x\n\n",
+        b": [DONE]\n\n",
+    ):
+        stream = wholeness.EventStream(has_content=True)
+        assert stream.feed(text) == text
+        assert not stream.is_ended
+
+
+def test_an_event_without_end_is_held_within_a_bound():
+    stream = wholeness.EventStream(has_content=False)
+    part = b"x" * 100_000
+    n_out = sum(len(stream.feed(part)) for _ in range(100))
+    assert n_out > 100 * len(part) - 2 * wholeness.MAX_EVENT_BYTES
