--- a/packages/utilities/bilberryridge/utilities/transfers.py
+++ b/packages/utilities/bilberryridge/utilities/transfers.py
@@ -40,6 +40,10 @@
     def __len__(self) -> int:
         return len(self._on_done)
 
+    def keep_connections(self, n_connections: int) -> None:
+        """Keep up to so many idle connections; by default few more than transfers."""
+        self._multi.setopt(pycurl.M_MAXCONNECTS, n_connections)
+
     def add(self, curl: pycurl.Curl, on_done: OnDone) -> None:
         """Start a transfer; `on_done` is called once, unless it is removed before."""
         self._on_done[curl] = on_done
@@ -118,9 +122,11 @@
             ended += [(curl, errno, text) for curl, errno, text in failed]
             for curl, errno, text in ended:
                 on_done = self._on_done.pop(curl, None)
+                if on_done is None:
+                    # Removed by the report of one that ended at the same time.
+                    continue
                 self._multi.remove_handle(curl)
-                if on_done is not None:
-                    on_done(curl, errno, text)
+                on_done(curl, errno, text)
                 curl.close()
 
 
