--- /dev/null
+++ b/packages/platform/bilberryridge/platform/loads.py
@@ -0,0 +1,166 @@
+"""Reading the load reports of backend servers.
+
+References
+----------
+Prometheus text-based exposition format.
+"""
+
+import math
+import random
+import re
+import time
+from collections.abc import Callable
+
+import attrs
+import pycurl
+from returns import result
+
+from bilberryridge.decisions import effects, events
+from bilberryridge.platform import calls, settings, timers
+from bilberryridge.utilities import metrics
+
+METRICS_PATH = "/metrics"
+MAX_REPORT_BYTES = 4 * 1024 * 1024
+MAX_REQUESTS = 10**6
+HTTP_OK = 200
+
+_SAMPLE = re.compile(
+    rb"^(?:vllm:num|service)_requests_(running|waiting)"
+    rb"(?:\{[^\n]*\})?[ \t]+([0-9eE+.-]+)",
+    re.MULTILINE,
+)
+
+
+@attrs.frozen
+class Load:
+    """Requests in work and waiting, over all models of a server."""
+
+    n_running: int
+    n_waiting: int
+
+
+def decode_report(body: bytes) -> Load | None:
+    """Find the load in a report; None when it is not there.
+
+    Examples
+    --------
+    >>> decode_report(b'vllm:num_requests_running{model_name="m"} 3.0\\n'
+    ...               b'vllm:num_requests_waiting{model_name="m"} 1.0\\n')
+    Load(n_running=3, n_waiting=1)
+    >>> decode_report(b"service_requests_running 1")
+    """
+    sums = {b"running": 0.0, b"waiting": 0.0}
+    found = set()
+    for name, value in _SAMPLE.findall(body):
+        try:
+            sums[name] += float(value)
+        except ValueError:
+            return None
+        found.add(name)
+    if len(found) < len(sums):
+        return None
+    if not all(math.isfinite(n) and 0 <= n <= MAX_REQUESTS for n in sums.values()):
+        return None
+    return Load(int(sums[b"running"]), int(sums[b"waiting"]))
+
+
+@attrs.define
+class Polled:
+    """A server that is read at a fixed interval.
+
+    Parameters
+    ----------
+    address : str
+    timer : Timer or None
+    curl : pycurl.Curl or None
+        The read that is under way.
+    """
+
+    address: str
+    timer: timers.Timer | None = None
+    curl: pycurl.Curl | None = None
+
+
+class LoadReader:
+    """Reads the reports of the servers it is told, spread over the interval.
+
+    Parameters
+    ----------
+    cfg : PlatformSettings
+    running : Calls
+    later : Timers
+    post : callable
+    counts : Metrics
+    random_state : random.Random
+    """
+
+    def __init__(
+        self,
+        cfg: settings.PlatformSettings,
+        running: calls.Calls,
+        later: timers.Timers,
+        post: Callable[[events.Event], None],
+        counts: metrics.Metrics,
+        random_state: random.Random,
+    ):
+        self._cfg = cfg
+        self._running = running
+        self._later = later
+        self._post = post
+        self._counts = counts
+        self._random_state = random_state
+        self._polled: dict[str, Polled] = {}
+
+    def replace(self, effect: effects.ReadLoads, now_s: float) -> None:
+        """Read exactly these servers."""
+        wanted = dict(effect.servers)
+        for server, polled in list(self._polled.items()):
+            if wanted.get(server) != polled.address:
+                self._stop(server, polled)
+        for server, address in wanted.items():
+            if server not in self._polled:
+                self._polled[server] = Polled(address)
+                wait_s = self._random_state.uniform(0, self._cfg.load_interval_s)
+                self._read_at(server, now_s + wait_s)
+
+    def _stop(self, server: str, polled: Polled) -> None:
+        del self._polled[server]
+        if polled.timer is not None:
+            polled.timer.cancel()
+        if polled.curl is not None:
+            self._running.cancel(polled.curl)
+
+    def _read_at(self, server: str, due_s: float) -> None:
+        timer = self._later.at(due_s, lambda: self._read(server, due_s))
+        self._polled[server].timer = timer
+
+    def _read(self, server: str, due_s: float) -> None:
+        # The time-out is not above the interval, so that no two reads overlap.
+        # After a pause of the process, reads are not made up for.
+        next_due_s = max(due_s + self._cfg.load_interval_s, time.monotonic())
+        self._read_at(server, next_due_s)
+        polled = self._polled[server]
+        if polled.curl is not None:
+            return
+        call = calls.Call(
+            kind="load",
+            method="GET",
+            url=f"http://{polled.address}{METRICS_PATH}",
+            timeout_s=min(self._cfg.call_timeout_s, self._cfg.load_interval_s),
+            max_answer_bytes=MAX_REPORT_BYTES,
+            source_host=self._cfg.source_host,
+        )
+        polled.curl = self._running.start(
+            call, lambda ended: self._on_result(server, ended)
+        )
+
+    def _on_result(self, server: str, ended: calls.CallResult) -> None:
+        self._polled[server].curl = None
+        load = None
+        if isinstance(ended, result.Success) and ended.unwrap().status == HTTP_OK:
+            load = decode_report(ended.unwrap().body)
+        if load is None:
+            self._counts.count("loads_unread")
+            self._post(events.LoadRead(server, is_answering=False))
+        else:
+            self._post(events.LoadRead(server, load.n_running, load.n_waiting))
