--- /dev/null
+++ b/packages/peers/bilberryridge/peers/listener.py
@@ -0,0 +1,69 @@
+"""The socket at which a daemon takes connections of others."""
+
+import contextlib
+import selectors
+import socket
+from collections.abc import Iterator
+
+from bilberryridge.peers import settings
+from bilberryridge.utilities import metrics
+
+BACKLOG = 128
+
+
+class Listener:
+    """A listening socket that can be paused; the selector key's data is this object.
+
+    Parameters
+    ----------
+    sock : socket.socket
+    selector : selectors.BaseSelector
+    counts : Metrics
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        selector: selectors.BaseSelector,
+        counts: metrics.Metrics,
+    ):
+        self._sock = sock
+        self._selector = selector
+        self._counts = counts
+        self._is_paused = True
+        self.resume()
+
+    def accept(self) -> socket.socket | None:
+        """Take a connection; None when there is none to take."""
+        try:
+            return self._sock.accept()[0]
+        except BlockingIOError:
+            return None
+        except OSError:
+            # With no descriptor left the socket stays readable.
+            self._counts.count("peer_accepts_failed")
+            self.pause()
+            return None
+
+    def pause(self) -> None:
+        """Take no connections until `resume`."""
+        if not self._is_paused:
+            self._selector.unregister(self._sock)
+            self._is_paused = True
+
+    def resume(self) -> None:
+        """Take connections."""
+        if self._is_paused:
+            self._selector.register(self._sock, selectors.EVENT_READ, self)
+            self._is_paused = False
+
+
+@contextlib.contextmanager
+def open_listener(
+    address: str, selector: selectors.BaseSelector, counts: metrics.Metrics
+) -> Iterator[Listener]:
+    """Listen at ``host:port``, and close the socket at the end."""
+    host, port = settings.split_address(address)
+    with socket.create_server((host, port), backlog=BACKLOG) as sock:
+        sock.setblocking(False)
+        yield Listener(sock, selector, counts)
--- /dev/null
+++ b/packages/peers/bilberryridge/peers/table.py
@@ -0,0 +1,162 @@
+"""Which proven connections lead to which daemon, and what waits for it."""
+
+from collections.abc import Callable
+
+import attrs
+from websockets import frames
+
+from bilberryridge.core import messages
+from bilberryridge.decisions import events
+from bilberryridge.peers import codec, connection, handshake, outbox, settings
+from bilberryridge.utilities import metrics
+
+
+@attrs.define(eq=False)
+class Peer:
+    """A daemon with at least one proven connection.
+
+    Parameters
+    ----------
+    identity : Identity
+    waiting : Outbox
+    up_since_s : float
+    conns : list of Connection
+        The newest last; messages leave by it.
+    """
+
+    identity: handshake.Identity
+    waiting: outbox.Outbox
+    up_since_s: float
+    conns: list[connection.Connection] = attrs.field(factory=list)
+
+
+class Table:
+    """The connected daemons.
+
+    Parameters
+    ----------
+    cfg : PeersSettings
+    post : callable
+        Takes the events of the peers.
+    counts : Metrics
+    """
+
+    def __init__(
+        self,
+        cfg: settings.PeersSettings,
+        post: Callable[[events.Event], None],
+        counts: metrics.Metrics,
+    ):
+        self._cfg = cfg
+        self._post = post
+        self._counts = counts
+        self._peers: dict[str, Peer] = {}
+
+    def __contains__(self, vm: object) -> bool:
+        return vm in self._peers
+
+    def add(
+        self, conn: connection.Connection, identity: handshake.Identity, now_s: float
+    ) -> list[connection.Connection]:
+        """Take a connection that is proven; return those that it replaces."""
+        conn.identity = identity
+        conn.enter(connection.Stage.OPEN, now_s)
+        replaced = self._drop_earlier_incarnation(identity, now_s)
+        peer = self._peers.get(identity.vm)
+        if peer is None:
+            peer = Peer(identity, self._new_outbox(), now_s)
+            self._peers[identity.vm] = peer
+            self._post(events.PeerUp(identity.vm, identity.incarnation))
+        return replaced + self._join(peer, conn, now_s)
+
+    def remove(self, conn: connection.Connection, now_s: float) -> float | None:
+        """Forget a connection; return how long the daemon was up if it was the last."""
+        peer = self._peers.get(conn.identity.vm) if conn.identity else None
+        if peer is None or conn not in peer.conns:
+            return None
+        peer.conns.remove(conn)
+        if peer.conns:
+            return None
+        self._drop(peer)
+        return now_s - peer.up_since_s
+
+    def queue(self, vm: str, revision: int, body: messages.Message) -> None:
+        """Let a message wait for a daemon; count it when it is dropped."""
+        kind = codec.kind_of(body)
+        peer = self._peers.get(vm)
+        if peer is None:
+            self._counts.count("peer_messages_dropped", (kind, "not_connected"))
+            return
+        frame = messages.Frame(self._cfg.vm, self._cfg.incarnation, revision, body)
+        try:
+            encoded = codec.encode(frame)
+        except codec.CodecError:
+            self._counts.count("peer_messages_dropped", (kind, "not_encodable"))
+            return
+        is_load = isinstance(body, outbox.LOAD_MESSAGES)
+        dropped = peer.waiting.put(outbox.Waiting(kind, encoded, is_load))
+        self._count_dropped(dropped, "queue_full")
+
+    def pump(self, conn: connection.Connection) -> bool:
+        """Move messages to their connection as far as it has room; say if any were."""
+        peer = self._peers.get(conn.identity.vm) if conn.identity else None
+        if peer is None or conn is not peer.conns[-1]:
+            return False
+        n_moved = 0
+        while conn.has_room and len(peer.waiting):
+            message = peer.waiting.take()
+            conn.send_message(message.encoded)
+            self._counts.count("peer_messages_sent", (message.kind,))
+            n_moved += 1
+        return n_moved > 0
+
+    def conn_of(self, vm: str) -> connection.Connection | None:
+        """The connection by which messages leave for a daemon."""
+        peer = self._peers.get(vm)
+        return peer.conns[-1] if peer is not None else None
+
+    def _join(
+        self, peer: Peer, conn: connection.Connection, now_s: float
+    ) -> list[connection.Connection]:
+        replaced = []
+        for other in peer.conns:
+            if other.is_dialled == conn.is_dialled:
+                # The other end keeps one connection a direction: this one is dead.
+                other.fail(frames.CloseCode.GOING_AWAY, "replaced", now_s)
+                replaced.append(other)
+        peer.conns = [other for other in peer.conns if other not in replaced]
+        peer.conns.append(conn)
+        return replaced + self._retire_second(peer, now_s)
+
+    def _retire_second(self, peer: Peer, now_s: float) -> list[connection.Connection]:
+        # Two ends that dial each other keep the connection of the smaller name.
+        if len(peer.conns) < 2 or self._cfg.vm < peer.identity.vm:
+            return []
+        second = [conn for conn in peer.conns if conn.is_dialled]
+        for conn in second:
+            conn.retire(frames.CloseCode.NORMAL_CLOSURE, "second connection", now_s)
+        peer.conns = [conn for conn in peer.conns if not conn.is_dialled]
+        return second
+
+    def _drop_earlier_incarnation(
+        self, identity: handshake.Identity, now_s: float
+    ) -> list[connection.Connection]:
+        peer = self._peers.get(identity.vm)
+        if peer is None or peer.identity == identity:
+            return []
+        for conn in peer.conns:
+            conn.fail(frames.CloseCode.GOING_AWAY, "new incarnation", now_s)
+        self._drop(peer)
+        return peer.conns
+
+    def _drop(self, peer: Peer) -> None:
+        del self._peers[peer.identity.vm]
+        self._count_dropped(peer.waiting.clear(), "not_connected")
+        self._post(events.PeerDown(peer.identity.vm))
+
+    def _count_dropped(self, dropped: list[outbox.Waiting], why: str) -> None:
+        for message in dropped:
+            self._counts.count("peer_messages_dropped", (message.kind, why))
+
+    def _new_outbox(self) -> outbox.Outbox:
+        return outbox.Outbox(self._cfg.max_queued_messages, self._cfg.max_queued_bytes)
