Metrics, logs, traces, explanations and the operators' port

Cause: operators must see what a daemon does and why, and stop it, without the port or its records ever costing the daemon its bounds.

Ruled out: werkzeug's threaded server, a thread for each connection; its own binding, which ends the process when it fails. Spans go to a ring instead of an exporter, as none is pinned; a span is recorded here even when the caller does not sample, with the flag passed on as it came.

--- /dev/null
+++ b/packages/daemon/bilberryridge/daemon/tests/test_metrics.py
@@ -0,0 +1,85 @@
+import pytest
+
+from bilberryridge.daemon import metrics, registry
+
+EXPECTED = """\
+# HELP bilberryridge_refusals_total Requests refused.
+# TYPE bilberryridge_refusals_total counter
+bilberryridge_refusals_total{reason="a\\"b\\\\c\\nd",outcome="unknown"} 1
+bilberryridge_refusals_total{reason="busy",outcome="not_run"} 3
+# HELP bilberryridge_open_requests Requests open at this daemon.
+# TYPE bilberryridge_open_requests gauge
+bilberryridge_open_requests 7
+# HELP bilberryridge_request_seconds From arrival to the end of the answer.
+# TYPE bilberryridge_request_seconds summary
+"""
+
+
+class Clock:
+    now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def test_text_names_every_record():
+    found = metrics.Metrics(is_strict=True)
+    found.count("refusals", ("busy", "not_run"))
+    found.count("refusals", ("busy", "not_run"), 2)
+    found.count("refusals", ('a"b\\c\nd', "unknown"))
+    found.set_gauge("open_requests", (), 9)
+    found.set_gauge("open_requests", (), 7)
+    for i in range(1, 101):
+        found.observe_s("request", ("desk",), i / 100)
+    head, rows = found.render().split("summary\n")
+    assert head + "summary\n" == EXPECTED
+    values = dict(line.rsplit(" ", 1) for line in rows.splitlines())
+    for quantile, seconds in [("0.5", 0.5), ("0.95", 0.95), ("0.99", 0.99)]:
+        key = f'bilberryridge_request_seconds{{service="desk",quantile="{quantile}"}}'
+        assert float(values[key]) == pytest.approx(seconds, rel=0.01)
+    assert values['bilberryridge_request_seconds_count{service="desk"}'] == "100"
+    assert values['bilberryridge_request_seconds_sum{service="desk"}'] == "50.5"
+
+
+@pytest.mark.parametrize(
+    ("name", "labels"),
+    [("no_such", ()), ("refusals", ("busy",)), ("open_requests", ())],
+)
+def test_unknown_record_raises_only_when_strict(name, labels):
+    with pytest.raises(metrics.UnknownMetricError):
+        metrics.Metrics(is_strict=True).count(name, labels)
+    lenient = metrics.Metrics()
+    lenient.count(name, labels)
+    assert lenient.value("unknown_metrics") == 1
+
+
+def test_label_sets_are_bounded():
+    found = metrics.Metrics(is_strict=True)
+    for i in range(metrics.MAX_LABEL_SETS + 50):
+        found.count("retries", (str(i),))
+    for i in range(metrics.MAX_LATENCY_LABEL_SETS + 5):
+        found.observe_s("step", (str(i),), 0.01)
+    lines = found.render().splitlines()
+    assert 'bilberryridge_retries_total{cause="other"} 50' in lines
+    assert 'bilberryridge_step_seconds_count{event="other"} 5' in lines
+
+
+def test_quantiles_forget_what_is_older_than_two_windows():
+    clock = Clock()
+    found = metrics.Metrics(is_strict=True, now_s=clock)
+    found.observe_s("step", ("tick",), 100.0)
+    clock.now_s = metrics.WINDOW_S
+    found.observe_s("step", ("tick",), 1.0)
+    assert 'quantile="0.99"} 100' in found.render()
+    clock.now_s = 2 * metrics.WINDOW_S
+    found.observe_s("step", ("tick",), 1.0)
+    text = found.render()
+    assert 'quantile="0.99"} 1.0' in text
+    assert 'bilberryridge_step_seconds_sum{event="tick"} 102' in text
+    clock.now_s = 9 * metrics.WINDOW_S
+    assert "quantile" not in found.render()
+
+
+def test_full_names_are_unique():
+    names = [metric.full_name for metric in registry.METRICS]
+    assert len(set(names)) == len(names)
--- /dev/null
+++ b/packages/daemon/bilberryridge/daemon/tests/test_traces.py
@@ -0,0 +1,95 @@
+import io
+import json
+import logging
+import queue
+
+import pytest
+
+from bilberryridge.configuration import settings
+from bilberryridge.daemon import logs, rings, traces
+
+TRACE_ID = "0af7651916cd43dd8448eb211c80319c"
+
+
+@pytest.mark.parametrize(
+    ("parent", "trace_id", "is_sampled"),
+    [
+        (f"00-{TRACE_ID}-b7ad6b7169203331-01", TRACE_ID, True),
+        (f"00-{TRACE_ID}-b7ad6b7169203331-00", TRACE_ID, False),
+        ("", None, True),
+        ("00-zz-b7ad6b7169203331-01", None, True),
+    ],
+)
+def test_span_continues_the_callers_trace(parent, trace_id, is_sampled):
+    with traces.open_traces("vm-1") as found:
+        span = found.begin("r1", "request", parent, {"service": "desk"})
+        out = traces.trace_parent(span)
+        hop = found.begin("r1", "attempt", out)
+        hop.end()
+        span.end()
+        (inner, outer) = found.spans("r1")
+    assert (inner.trace_id, inner.parent_id) == (outer.trace_id, outer.span_id)
+    assert out.startswith(f"00-{outer.trace_id}-{outer.span_id}-")
+    # The lowest bit says sampled; the next one says that the trace id is random.
+    assert int(out[-2:], 16) & 1 == is_sampled
+    assert trace_id in (None, outer.trace_id)
+    assert outer.parent_id == ("b7ad6b7169203331" if trace_id else "")
+    assert outer.attributes == (("service", "desk"),)
+    assert outer.ended_s >= outer.began_s > 0
+
+
+# Bounds of the ring, what is added (request, item, bytes), and what stays.
+RINGS = [
+    ((2, 10**6, 9), [("a", 1, 0), ("b", 2, 0), ("c", 3, 0)], {"b": (2,), "c": (3,)}),
+    ((9, 1000, 9), [("a", 1, 300), ("b", 2, 300), ("b", 3, 0)], {"b": (2, 3)}),
+    ((9, 10**6, 2), [("a", 1, 0), ("a", 2, 0), ("a", 3, 0)], {"a": (1, 2)}),
+    ((9, 1000, 9), [("a", 1, 5000)], {}),
+]
+
+
+@pytest.mark.parametrize(("bounds", "added", "kept"), RINGS)
+def test_ring_keeps_its_bounds(bounds, added, kept):
+    ring = rings.RequestRing(*bounds)
+    for request_id, item, n_bytes in added:
+        ring.add(request_id, item, n_bytes)
+    found = {request_id: ring.items(request_id) for request_id in "abc"}
+    assert {key: items for key, items in found.items() if items} == kept
+    assert len(ring) == len(kept)
+    assert ring.n_bytes <= bounds[1]
+
+
+def test_explanations_stay_within_their_bytes():
+    ring = rings.RequestRing(max_bytes=100_000)
+    explanations = traces.Explanations(ring, now_s=lambda: 3.0)
+    for i in range(1000):
+        explanations.add(f"r{i}", "placed", "x" * 10_000)
+    assert ring.n_bytes <= 100_000
+    (step,) = explanations.steps("r999")
+    assert (step.time_s, len(step.why)) == (3.0, traces.MAX_TEXT_LENGTH)
+    assert explanations.steps("r0") == ()
+
+
+def test_change_is_one_json_line():
+    stream = io.StringIO()
+    with logs.open_logs(settings.LogLevel.INFO, stream, "vm-1"):
+        logs.changed("peer", "vm-2", "up", "down")
+        logs.LOGGER.debug("not written")
+    (line,) = stream.getvalue().splitlines()
+    found = json.loads(line)
+    assert found.pop("time")
+    assert found == {
+        "level": "INFO",
+        "message": "peer vm-2: up -> down",
+        "what": "peer",
+        "subject": "vm-2",
+        "before": "up",
+        "after": "down",
+        "vm": "vm-1",
+    }
+
+
+def test_line_over_the_bound_is_dropped_without_waiting():
+    handler = logs.DroppingHandler(queue.Queue(1))
+    for _ in range(3):
+        handler.handle(logging.makeLogRecord({"msg": "x"}))
+    assert handler.n_dropped == 2
