--- /dev/null
+++ b/packages/configuration/bilberryridge/configuration/crosschecks.py
@@ -0,0 +1,186 @@
+"""Checks that need the whole set of documents.
+
+See Also
+--------
+bilberryridge.configuration.documents : checks of one document.
+"""
+
+import collections
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TypeVar
+
+import attrs
+
+from bilberryridge.configuration import documents, problems
+from bilberryridge.core import documents as core_documents
+
+D = TypeVar("D")
+
+ADDRESS_FIELDS = ("address", "relay_address", "peer_address", "operators_address")
+SERVER = core_documents.VmKind.SERVER
+
+
+@attrs.frozen
+class Index:
+    """The names in a set of documents.
+
+    Parameters
+    ----------
+    regions : mapping of str to str
+        Region by domain.
+    services : mapping of str to Service
+    server_regions : mapping of str to set of str
+        Regions with a backend server, by service.
+    """
+
+    regions: dict[str, str]
+    services: dict[str, core_documents.Service]
+    server_regions: dict[str, set[str]]
+
+    def is_region(self, name: str) -> bool:
+        """Whether any domain stands in the region."""
+        return name in self.regions.values()
+
+    def services_left(self, regions: Iterable[str]) -> list[str]:
+        """The services with a server in one of the regions that they allow."""
+        return [
+            name
+            for name, service in self.services.items()
+            if self.server_regions[name] & set(service.regions) & set(regions)
+        ]
+
+
+def check(placed: Sequence[documents.Placed]) -> problems.Problems:
+    """Every problem and warning of a whole set of documents, by file and line."""
+    index = _make_index(placed)
+    found = itertools.chain(
+        _check_domains(placed),
+        _check_vms(placed, index),
+        _check_services(placed, index),
+        _check_organisations(placed, index),
+        _check_links(placed, index),
+        _check_unique(placed),
+    )
+    return tuple(sorted(found))
+
+
+def _of(
+    placed: Iterable[documents.Placed], cls: type[D]
+) -> Iterator[tuple[documents.Placed, D]]:
+    for one in placed:
+        if isinstance(one.document, cls):
+            yield one, one.document
+
+
+def _make_index(placed: Sequence[documents.Placed]) -> Index:
+    domains = [domain for _, domain in _of(placed, core_documents.Domain)]
+    services = [service for _, service in _of(placed, core_documents.Service)]
+    regions = {domain.name: domain.region for domain in domains}
+    server_regions = collections.defaultdict(set)
+    for _, vm in _of(placed, core_documents.Vm):
+        if vm.kind is SERVER and vm.domain in regions:
+            server_regions[vm.service].add(regions[vm.domain])
+    by_name = {service.name: service for service in services}
+    return Index(regions, by_name, server_regions)
+
+
+def _check_domains(placed: Sequence[documents.Placed]) -> Iterator[problems.Problem]:
+    served = {
+        vm.domain
+        for _, vm in _of(placed, core_documents.Vm)
+        if vm.kind is core_documents.VmKind.ENTRY
+    }
+    for where, domain in _of(placed, core_documents.Domain):
+        if domain.name not in served:
+            yield where.problem("name", f"{domain.name} has no entry VM")
+
+
+def _check_vms(
+    placed: Sequence[documents.Placed], index: Index
+) -> Iterator[problems.Problem]:
+    for where, vm in _of(placed, core_documents.Vm):
+        if vm.domain not in index.regions:
+            yield where.problem("domain", f"{vm.domain} is not a domain")
+        if vm.kind is not SERVER:
+            continue
+        service = index.services.get(vm.service)
+        region = index.regions.get(vm.domain)
+        if service is None:
+            yield where.problem("service", f"{vm.service} is not a service")
+        elif region is not None and region not in service.regions:
+            reason = f"{vm.domain} is in {region}, where {service.name} is not allowed"
+            yield where.problem("domain", reason)
+
+
+def _check_services(
+    placed: Sequence[documents.Placed], index: Index
+) -> Iterator[problems.Problem]:
+    for where, service in _of(placed, core_documents.Service):
+        yield from _check_regions(where, service.regions, index)
+        if not index.server_regions[service.name] & set(service.regions):
+            reason = f"no backend server of {service.name} is in any of them"
+            yield where.problem("regions", reason)
+
+
+def _check_organisations(
+    placed: Sequence[documents.Placed], index: Index
+) -> Iterator[problems.Problem]:
+    for where, organisation in _of(placed, core_documents.Organisation):
+        home = organisation.home_region
+        if not index.is_region(home):
+            yield where.problem("home_region", f"{home} is not a region")
+        yield from _check_regions(where, organisation.regions, index)
+        allowed = organisation.regions or tuple(index.regions.values())
+        left = index.services_left(allowed)
+        if index.services and not left:
+            yield where.problem("regions", "no backend server is left to serve it")
+        for name in index.services.keys() - set(left) if left else ():
+            reason = f"no backend server of {name} is left to serve it"
+            yield where.problem("regions", reason, is_warning=True)
+
+
+def _check_regions(
+    where: documents.Placed, regions: Iterable[str], index: Index
+) -> Iterator[problems.Problem]:
+    for region in regions:
+        if not index.is_region(region):
+            yield where.problem("regions", f"{region} is not a region")
+
+
+def _check_links(
+    placed: Sequence[documents.Placed], index: Index
+) -> Iterator[problems.Problem]:
+    linked = set()
+    for where, link in _of(placed, core_documents.Link):
+        linked.add((link.a, link.b))
+        for field, region in (("a", link.a), ("b", link.b)):
+            if not index.is_region(region):
+                yield where.problem(field, f"{region} is not a region")
+    pairs = itertools.combinations(sorted(set(index.regions.values())), 2)
+    missing = [pair for pair in pairs if pair not in linked]
+    for where, domain in _of(placed, core_documents.Domain):
+        for a, b in missing:
+            if domain.region == a:
+                reason = f"no link is given between {a} and {b}"
+                yield where.problem("region", reason, is_warning=True)
+
+
+def _check_unique(placed: Sequence[documents.Placed]) -> Iterator[problems.Problem]:
+    owners: dict[str, str] = {}
+    for where, field, value in _unique_values(placed):
+        if value in owners:
+            yield where.problem(field, f"{value} is already that of {owners[value]}")
+        owners[value] = documents.key_of(where.document)
+
+
+def _unique_values(
+    placed: Sequence[documents.Placed],
+) -> Iterator[tuple[documents.Placed, str, str]]:
+    for where, vm in _of(placed, core_documents.Vm):
+        for field in ADDRESS_FIELDS:
+            if getattr(vm, field):
+                yield where, field, getattr(vm, field)
+    for where, organisation in _of(placed, core_documents.Organisation):
+        for digest in organisation.token_digests:
+            yield where, "token_digests", digest
--- a/packages/configuration/bilberryridge/configuration/problems.py
+++ b/packages/configuration/bilberryridge/configuration/problems.py
@@ -14,6 +14,8 @@
     line : int
         From 1; 0 when the file as a whole is meant.
     reason : str
+    is_warning : bool
+        Whether it is only worth a look: nothing is refused for it.
 
     Examples
     --------
@@ -24,9 +26,11 @@
     file: str
     line: int
     reason: str
+    is_warning: bool = False
 
     def __str__(self) -> str:
-        return f"{self.file}:{self.line}: {self.reason}"
+        mark = "warning: " if self.is_warning else ""
+        return f"{self.file}:{self.line}: {mark}{self.reason}"
 
 
 Problems = tuple[Problem, ...]
