--- /dev/null
+++ b/packages/standins/bilberryridge/standins/etcd_json.py
@@ -0,0 +1,125 @@
+"""The JSON forms of etcd's gateway: base64 for bytes, strings for 64-bit numbers.
+
+Fields with their zero value are left out, as the gateway does.
+"""
+
+import base64
+from collections.abc import Callable
+from typing import Any
+
+from bilberryridge.standins import etcd
+
+
+def to_bytes(text: str | None) -> bytes:
+    """Decode a base64 field that may be absent."""
+    return base64.b64decode(text or "")
+
+
+def to_text(data: bytes) -> str:
+    """Encode bytes for a field."""
+    return base64.b64encode(data).decode()
+
+
+def key_value(kv: etcd.KeyValue) -> dict[str, Any]:
+    """The form of one version of a key.
+
+    Examples
+    --------
+    >>> key_value(etcd.KeyValue(b"a", b"1", 2, 3, 1))["mod_revision"]
+    '3'
+    """
+    numbers = {
+        "create_revision": kv.create_revision,
+        "mod_revision": kv.mod_revision,
+        "version": kv.version,
+        "lease": kv.lease,
+    }
+    shown: dict[str, Any] = {"key": to_text(kv.key)}
+    shown |= {name: str(n) for name, n in numbers.items() if n}
+    if kv.value:
+        shown["value"] = to_text(kv.value)
+    return shown
+
+
+def event(kv: etcd.KeyValue) -> dict[str, Any]:
+    """The form of a watch's event."""
+    if kv.value is None:
+        return {"type": "DELETE", "kv": key_value(kv)}
+    return {"kv": key_value(kv)}
+
+
+def put(body: dict) -> etcd.Put:
+    """Read a put request."""
+    lease = int(body.get("lease", 0))
+    return etcd.Put(to_bytes(body["key"]), to_bytes(body.get("value")), lease)
+
+
+def delete(body: dict) -> etcd.Delete:
+    """Read a delete request."""
+    return etcd.Delete(to_bytes(body["key"]), to_bytes(body.get("range_end")))
+
+
+def read(body: dict) -> etcd.Range:
+    """Read a range request."""
+    return etcd.Range(
+        to_bytes(body["key"]),
+        to_bytes(body.get("range_end")),
+        int(body.get("limit", 0)),
+        bool(body.get("count_only", False)),
+    )
+
+
+OPERATIONS: dict[str, Callable[[dict], etcd.Operation]] = {
+    "request_put": put,
+    "request_range": read,
+    "request_delete_range": delete,
+}
+WANTED_FIELDS = {
+    "MOD": "mod_revision",
+    "CREATE": "create_revision",
+    "VERSION": "version",
+    "VALUE": "value",
+}
+
+
+def operation(body: dict) -> etcd.Operation:
+    """Read one operation of a transaction."""
+    ((name, inner),) = body.items()
+    return OPERATIONS[_snake(name)](inner)
+
+
+def compare(body: dict) -> etcd.Compare:
+    """Read one condition of a transaction."""
+    target = body.get("target", "VERSION")
+    wanted = body.get(WANTED_FIELDS[target], "")
+    value = to_bytes(wanted) if target == "VALUE" else int(wanted or 0)
+    return etcd.Compare(
+        to_bytes(body["key"]), target, body.get("result", "EQUAL"), value
+    )
+
+
+def answer(op: etcd.Operation, found: etcd.Found) -> dict[str, Any]:
+    """The form of an operation's answer, without its header."""
+    if isinstance(op, etcd.Put):
+        return {}
+    if isinstance(op, etcd.Delete):
+        return {"deleted": str(found.count)} if found.count else {}
+    shown: dict[str, Any] = {}
+    if found.kvs:
+        shown["kvs"] = [key_value(kv) for kv in found.kvs]
+    if found.count:
+        shown["count"] = str(found.count)
+    if op.limit and found.count > op.limit:
+        shown["more"] = True
+    return shown
+
+
+def answer_in_transaction(op: etcd.Operation, found: etcd.Found) -> dict[str, Any]:
+    """The form of an operation's answer inside a transaction's."""
+    names = {etcd.Put: "response_put", etcd.Range: "response_range"}
+    name = names.get(type(op), "response_delete_range")
+    return {name: answer(op, found)}
+
+
+def _snake(name: str) -> str:
+    return "".join(f"_{c.lower()}" if c.isupper() else c for c in name)
