Platform: contract tests; the end of a watch no longer drops its own retry

Cause: the last lines of a watch and its end can be reported together. The end set the timer for the next try, then the lines cancelled it as if it were the time-out for the first answer, and no watch followed until the check read everything again. Lines are now handled before the end, and the two timers are apart.

--- a/packages/platform/bilberryridge/platform/tests/fakes.py
+++ b/packages/platform/bilberryridge/platform/tests/fakes.py
@@ -72,6 +72,7 @@
         self.watch_epoch = 0
         self.served_copy = None
         self.is_garbled = False
+        self.status = 200
 
     def put(self, key, value):
         with self.changed:
@@ -212,7 +213,7 @@
             if self.path == "/v3/watch":
                 self._watch(fake, req)
             else:
-                send_whole(self, 200, fake.answer(self.path, req))
+                send_whole(self, fake.status, fake.answer(self.path, req))
         except (CutError, OSError):
             self.close_connection = True
 
--- a/packages/platform/bilberryridge/platform/watch.py
+++ b/packages/platform/bilberryridge/platform/watch.py
@@ -77,7 +77,8 @@
         self._backoff_s = cfg.min_backoff_s
         self._running: pycurl.Curl | None = None
         self._check: pycurl.Curl | None = None
-        self._timer: timers.Timer | None = None
+        self._answer_timer: timers.Timer | None = None
+        self._retry_timer: timers.Timer | None = None
         self._check_timer: timers.Timer | None = None
         self._received = lines.Lines()
 
@@ -138,7 +139,7 @@
             self._on_data,
             self._on_watch_ended,
         )
-        self._timer = self._at(self._cfg.call_timeout_s, self._on_watch_silent)
+        self._answer_timer = self._at(self._cfg.call_timeout_s, self._on_watch_silent)
 
     def _on_data(self, data: bytes) -> int:
         n_taken = self._received.add(data)
@@ -146,23 +147,24 @@
         self._at(0.0, self._take_lines)
         return n_taken
 
-    def _take_lines(self) -> None:
+    def _take_lines(self) -> bool:
+        """Act on what came in; return whether the watch may go on."""
         for line in self._received.take():
             try:
                 answer = etcd_messages.watch_answer(line, self._prefix)
             except etcd_messages.AnswerError:
                 self._counts.count("watches_refused")
                 self._retry(self._read)
-                return
+                return False
             if answer.is_cancelled or answer.compact_revision:
                 self._counts.count("watches_cancelled")
                 self._retry(self._read)
-                return
+                return False
             self._on_answer(answer)
+        return True
 
     def _on_answer(self, answer: store.WatchAnswer) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        _cancel(self._answer_timer)
         self._backoff_s = self._cfg.min_backoff_s
         self._calls.note(True)
         if not answer.changes:
@@ -191,7 +193,8 @@
     def _on_watch_ended(self, _ended: calls.CallResult) -> None:
         self._running = None
         self._counts.count("watches_ended")
-        self._retry(self._watch)
+        if self._take_lines():
+            self._retry(self._watch)
 
     def _on_watch_silent(self) -> None:
         self._counts.count("watches_unanswered")
@@ -257,7 +260,7 @@
     def _retry(self, again: Callable[[], None]) -> None:
         self._cancel_running()
         share = self._random_state.uniform(MIN_JITTER, 1.0)
-        self._timer = self._at(share * self._backoff_s, again)
+        self._retry_timer = self._at(share * self._backoff_s, again)
         self._backoff_s = min(2 * self._backoff_s, self._cfg.max_backoff_s)
 
     def _check_later(self, wait_s: float) -> None:
@@ -265,25 +268,27 @@
         self._check_timer = self._at(wait_s, self._check_now)
 
     def _cancel_running(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        _cancel(self._answer_timer)
+        _cancel(self._retry_timer)
         if self._running is not None:
             self._calls.cancel(self._running)
             self._running = None
 
     def _cancel_check(self) -> None:
-        if self._check_timer is not None:
-            self._check_timer.cancel()
-            self._check_timer = None
+        _cancel(self._check_timer)
         if self._check is not None:
             self._calls.cancel(self._check)
             self._check = None
 
-    def _at(self, wait_s: float, run: Callable[[], None]) -> timers.Timer:
+    def _at(self, wait_s: float, run: Callable[[], object]) -> timers.Timer:
         return self._later.at(store_calls.now_s() + wait_s, run)
 
 
+def _cancel(timer: timers.Timer | None) -> None:
+    if timer is not None:
+        timer.cancel()
+
+
 def _version(item: store.KeyValue) -> documents.Version:
     return documents.Version(item.key, item.mod_revision, item.value)
 
