Peers: contract tests; a second connection is given up only after the first is confirmed

Cause: of two ends that dial each other, the larger name closed its connection as soon as it had proven the other one.

--- a/packages/peers/bilberryridge/peers/connection.py
+++ b/packages/peers/bilberryridge/peers/connection.py
@@ -53,6 +53,13 @@
         Monotonic.
     target_vm : str
         The VM that was dialled; empty for a connection that was accepted.
+
+    Attributes
+    ----------
+    identity : Identity or None
+        Who is at the other end, when that is proven.
+    is_confirmed : bool
+        Whether the other end is known to have this end's proof.
     """
 
     def __init__(
@@ -68,6 +75,7 @@
         self.stage = Stage.CONNECTING if target_vm else Stage.PROVING
         self.identity: handshake.Identity | None = None
         self.nonce = ""
+        self.is_confirmed = False
         self.stage_since_s = now_s
         self.heard_s = now_s
         self.sent_s = now_s
--- a/packages/peers/bilberryridge/peers/sessions.py
+++ b/packages/peers/bilberryridge/peers/sessions.py
@@ -69,6 +69,7 @@
             elif isinstance(event, http11.Response):
                 touched += self._on_response(conn, event, now_s)
             else:
+                touched += self._peers.confirm(conn, now_s)
                 self._on_frame(conn, event, now_s)
         self._note_failure(conn, now_s)
         return touched
--- a/packages/peers/bilberryridge/peers/table.py
+++ b/packages/peers/bilberryridge/peers/table.py
@@ -61,6 +61,10 @@
         """Take a connection that is proven; return those that it replaces."""
         conn.identity = identity
         conn.enter(connection.Stage.OPEN, now_s)
+        if conn.is_dialled:
+            # The first frame lets the other end know that it is proven here.
+            conn.is_confirmed = True
+            conn.send_keepalive()
         replaced = self._drop_earlier_incarnation(identity, now_s)
         peer = self._peers.get(identity.vm)
         if peer is None:
@@ -126,11 +130,21 @@
                 replaced.append(other)
         peer.conns = [other for other in peer.conns if other not in replaced]
         peer.conns.append(conn)
-        return replaced + self._retire_second(peer, now_s)
+        return replaced
 
-    def _retire_second(self, peer: Peer, now_s: float) -> list[connection.Connection]:
-        # Two ends that dial each other keep the connection of the smaller name.
-        if len(peer.conns) < 2 or self._cfg.vm < peer.identity.vm:
+    def confirm(
+        self, conn: connection.Connection, now_s: float
+    ) -> list[connection.Connection]:
+        """Take note of a frame that came in; return the connections not needed more.
+
+        Two ends that dial each other keep the connection of the smaller name. It must
+        be confirmed before the other is closed, else the other end would have none.
+        """
+        conn.is_confirmed = True
+        peer = self._peers.get(conn.identity.vm) if conn.identity else None
+        if peer is None or len(peer.conns) < 2 or self._cfg.vm < peer.identity.vm:
+            return []
+        if not all(other.is_confirmed for other in peer.conns):
             return []
         second = [conn for conn in peer.conns if conn.is_dialled]
         for conn in second:
--- a/packages/peers/bilberryridge/peers/tests/harness.py
+++ b/packages/peers/bilberryridge/peers/tests/harness.py
@@ -113,7 +113,7 @@
             )
         self.sock.settimeout(DEADLINE_S)
         self.sock.connect((host, int(port)))
-        self.frames = []
+        self._events = []
 
     def prove(self, vm, target, incarnation="i1", nonce="n", key=KEY, time_s=None):
         own = handshake.Identity(vm, incarnation)
@@ -140,7 +140,9 @@
     def receive(self, is_wanted):
         """Wait for an event; None when the connection ends before."""
         while True:
-            for event in self.proto.events_received():
+            self._events += self.proto.events_received()
+            while self._events:
+                event = self._events.pop(0)
                 if is_wanted(event):
                     return event
             try:
