Questionnaire: documents of a deployment from a team's answers, both examples

Cause: operators set up a deployment by answering questions; documents follow from the answers and each problem stands at the line of the answer, not of a generated file.

Ruled out: deleting files that follow from no answer any more; they are named instead, as a file in that folder may be someone's work.

Tests: regenerating both examples gives the committed files; 14 bad answers with line and reason. Seen to fail without: keys that follow from two answers, the checks of the whole set, naming of stale files, lines of the answers around a value, and with one committed document edited by hand.

--- /dev/null
+++ b/packages/configuration/bilberryridge/configuration/document_rules.py
@@ -0,0 +1,114 @@
+"""Checks of each kind of document by itself.
+
+See Also
+--------
+bilberryridge.configuration.documents : applies them.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from bilberryridge.configuration import rules, structure
+from bilberryridge.core import documents as core_documents
+
+WEIGHTS_NAME = "deployment"
+
+OPTIONAL_ADDRESS = rules.either(rules.is_empty, rules.check_address)
+WEIGHT = rules.within(0, 1e6)
+
+RULES: structure.Rules = {
+    core_documents.Domain: {"name": rules.check_name, "region": rules.check_name},
+    core_documents.Vm: {
+        "name": rules.check_name,
+        "domain": rules.check_name,
+        "address": rules.check_address,
+        "relay_address": OPTIONAL_ADDRESS,
+        "peer_address": OPTIONAL_ADDRESS,
+        "operators_address": OPTIONAL_ADDRESS,
+        "service": rules.either(rules.is_empty, rules.check_name),
+        "n_slots": rules.within(1, 100_000),
+        "tokens_per_s": rules.within(0, 1e7),
+    },
+    core_documents.Service: {
+        "name": rules.check_name,
+        "regions": rules.each(rules.check_name),
+        "idempotent_methods": rules.check_methods,
+        "deadline_s": rules.within(0.1, 3600),
+        "first_byte_deadline_s": rules.within(0.05, 3600),
+    },
+    core_documents.Organisation: {
+        "name": rules.check_name,
+        "home_region": rules.check_name,
+        "regions": rules.each(rules.check_name),
+        "token_digests": rules.each(rules.check_digest),
+        "weight": rules.within(0.001, 1000),
+    },
+    core_documents.Link: {
+        "a": rules.check_name,
+        "b": rules.check_name,
+        "one_way_ms": rules.within(0, 10_000),
+        "megabits_per_s": rules.within(0.001, 1e7),
+    },
+    core_documents.Weights: {
+        "tail_latency": WEIGHT,
+        "cost": WEIGHT,
+        "sent_away": WEIGHT,
+    },
+}
+
+Found = list[tuple[str, str]]
+"""Pairs of field name and what is wrong with it."""
+
+
+def _check_vm(vm: core_documents.Vm) -> Found:
+    is_entry = vm.kind is core_documents.VmKind.ENTRY
+    found = []
+    for field in ("relay_address", "peer_address", "operators_address"):
+        if is_entry and not getattr(vm, field):
+            found.append((field, "an entry VM needs it"))
+        if not is_entry and getattr(vm, field):
+            found.append((field, "only an entry VM has it"))
+    if is_entry and vm.service:
+        found.append(("service", "an entry VM runs no service"))
+    if not is_entry and not vm.service:
+        found.append(("service", "a backend server needs it"))
+    return found
+
+
+def _check_service(service: core_documents.Service) -> Found:
+    found = []
+    if not service.regions:
+        found.append(("regions", "empty, so no region may serve it"))
+    if service.first_byte_deadline_s > service.deadline_s:
+        found.append(("first_byte_deadline_s", "longer than deadline_s"))
+    return found
+
+
+def _check_organisation(organisation: core_documents.Organisation) -> Found:
+    home = organisation.home_region
+    if organisation.regions and home not in organisation.regions:
+        return [("home_region", f"{home} is not one of its regions")]
+    return []
+
+
+def _check_link(link: core_documents.Link) -> Found:
+    return [("b", "comes before a; put them in order")] if link.b < link.a else []
+
+
+def _check_weights(weights: core_documents.Weights) -> Found:
+    return [] if weights.name == WEIGHTS_NAME else [("name", f"must be {WEIGHTS_NAME}")]
+
+
+CHECKS: dict[type, Callable[[Any], Found]] = {
+    core_documents.Vm: _check_vm,
+    core_documents.Service: _check_service,
+    core_documents.Organisation: _check_organisation,
+    core_documents.Link: _check_link,
+    core_documents.Weights: _check_weights,
+}
+
+
+def check_whole(document: Any) -> Found:
+    """What is wrong with a document whose fields are right one by one."""
+    check = CHECKS.get(type(document))
+    return check(document) if check is not None else []
--- /dev/null
+++ b/packages/configuration/bilberryridge/configuration/questionnaire.py
@@ -0,0 +1,297 @@
+"""The questionnaire: a team's answers, and the documents that follow from them.
+
+See Also
+--------
+bilberryridge.command.interview : asks the questions.
+"""
+
+import pathlib
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+import attrs
+import returns.result
+from returns.result import Result
+
+from bilberryridge.configuration import (
+    crosschecks,
+    documents,
+    located,
+    problems,
+    rules,
+    structure,
+)
+from bilberryridge.core import documents as core_documents
+
+
+@attrs.frozen
+class Ports:
+    """The ports of every VM."""
+
+    callers: int = 8080
+    relay: int = 8081
+    peers: int = 8082
+    operators: int = 8083
+    servers: int = 9000
+
+
+@attrs.frozen
+class DomainAnswer:
+    """A failure domain and the IP numbers of its entry VMs."""
+
+    name: str
+    region: str
+    entry_ips: tuple[str, ...]
+
+
+@attrs.frozen
+class ServersAnswer:
+    """The IP numbers of a service's backend servers in one failure domain."""
+
+    domain: str
+    ips: tuple[str, ...]
+
+
+@attrs.frozen
+class ServiceAnswer:
+    """A service, where its data may be, and which requests may be sent again.
+
+    Parameters
+    ----------
+    regions : tuple of str
+        Regions where its data may be served or processed.
+    retryable_methods : tuple of str
+        Methods whose requests may be sent again; others run at most once.
+    n_slots : int
+        Requests that one backend server works on at once.
+    tokens_per_s : float
+        Of one backend server with all slots busy; 0 for a plain service.
+
+    Other parameters are those of `bilberryridge.core.documents.Service`.
+    """
+
+    name: str
+    kind: core_documents.ServiceKind
+    regions: tuple[str, ...]
+    servers: tuple[ServersAnswer, ...]
+    retryable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    key_required: bool = True
+    server_checks_keys: bool = False
+    has_content: bool = True
+    deadline_s: float = 30.0
+    first_byte_deadline_s: float = 10.0
+    n_slots: int = 16
+    tokens_per_s: float = 0.0
+    checks_fencing: bool = False
+
+
+@attrs.frozen
+class Answers:
+    """All answers of a team.
+
+    Parameters
+    ----------
+    deployment : str
+    domains : tuple of DomainAnswer
+    services : tuple of ServiceAnswer
+    organisations : tuple of Organisation
+    links : tuple of Link
+    weights : Weights
+    ports : Ports
+    """
+
+    deployment: str
+    domains: tuple[DomainAnswer, ...]
+    services: tuple[ServiceAnswer, ...]
+    organisations: tuple[core_documents.Organisation, ...]
+    links: tuple[core_documents.Link, ...] = ()
+    weights: core_documents.Weights = attrs.field(factory=core_documents.Weights)
+    ports: Ports = attrs.field(factory=Ports)
+
+
+PORT = rules.within(1, rules.MAX_PORT)
+RULES: structure.Rules = {
+    Answers: {"deployment": rules.check_name},
+    Ports: {field.name: PORT for field in attrs.fields(Ports)},
+}
+
+SERVICE_FIELDS = (
+    "name",
+    "kind",
+    "regions",
+    "key_required",
+    "server_checks_keys",
+    "has_content",
+    "deadline_s",
+    "first_byte_deadline_s",
+)
+SERVER_FIELDS = ("n_slots", "tokens_per_s", "checks_fencing")
+
+
+@attrs.frozen
+class Draft:
+    """The values of a document to come.
+
+    Parameters
+    ----------
+    kind : str
+    values : mapping of str to object
+    where : str
+        The answer that it follows from.
+    """
+
+    kind: str
+    values: Mapping[str, Any]
+    where: str
+
+
+@attrs.frozen
+class Generated:
+    """What follows from a file of answers.
+
+    Parameters
+    ----------
+    deployment : str
+    placed : tuple of Placed
+        The documents, each with its place in the answers.
+    warnings : tuple of Problem
+    """
+
+    deployment: str
+    placed: tuple[documents.Placed, ...]
+    warnings: problems.Problems
+
+
+def generate(file: str, data: bytes) -> Result[Generated, problems.Problems]:
+    """Make the documents from a file of answers, or name every problem in it."""
+    return located.from_yaml(file, data).bind(lambda node: _from_node(file, node))
+
+
+def write(
+    placed: Sequence[documents.Placed], out: pathlib.Path
+) -> tuple[pathlib.Path, ...]:
+    """Write one file a document as ``<out>/<kind>/<name>.yaml``.
+
+    Returns
+    -------
+    tuple of Path
+        Files of documents that were there before and follow from no answer any more.
+    """
+    written = set()
+    for one in placed:
+        key = documents.key_of(one.document)
+        path = out / f"{key}{documents.SUFFIX}"
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(documents.to_yaml(one.document))
+        written.add(path)
+    return tuple(sorted(set(out.glob(f"*/*{documents.SUFFIX}")) - written))
+
+
+def _from_node(file: str, node: located.Node) -> Result[Generated, problems.Problems]:
+    structurer = structure.Structurer(file, RULES)
+    answers = structurer.structure(node, Answers)
+    if structurer.found:
+        return returns.result.Failure(tuple(sorted(structurer.found)))
+    placed: list[documents.Placed] = []
+    found: list[problems.Problem] = []
+    for draft in _drafts(answers):
+        draft_node = _locate(draft, structurer.lines)
+        match documents.from_node(file, draft.kind, draft_node):
+            case returns.result.Success(one):
+                placed.append(one)
+            case returns.result.Failure(several):
+                found += several
+    found += _check_keys(placed) + list(crosschecks.check(placed))
+    if all(problem.is_warning for problem in found):
+        made = Generated(answers.deployment, tuple(placed), tuple(found))
+        return returns.result.Success(made)
+    return returns.result.Failure(tuple(sorted(set(found))))
+
+
+def _locate(draft: Draft, lines: Mapping[str, int]) -> located.Node:
+    values = {
+        name: _to_node(value, _line_of(draft.where, name, lines))
+        for name, value in draft.values.items()
+    }
+    return located.Node(values, lines.get(draft.where, 1))
+
+
+def _line_of(where: str, name: str, lines: Mapping[str, int]) -> int:
+    """The line of a field at an answer, or at the nearest answer around it."""
+    around = where
+    while around:
+        line = lines.get(f"{around}.{name}")
+        if line is not None:
+            return line
+        around = around.rpartition(".")[0]
+    return lines.get(where, 1)
+
+
+def _to_node(value: Any, line: int) -> located.Node:
+    plain = documents.plain_value(value)
+    if isinstance(plain, list):
+        return located.Node(tuple(located.Node(item, line) for item in plain), line)
+    return located.Node(plain, line)
+
+
+def _check_keys(placed: Sequence[documents.Placed]) -> list[problems.Problem]:
+    found, seen = [], set()
+    for one in placed:
+        key = documents.key_of(one.document)
+        if key in seen:
+            found.append(one.problem("name", f"{key} follows from two answers"))
+        seen.add(key)
+    return found
+
+
+def _drafts(answers: Answers) -> Iterator[Draft]:
+    for i, domain in enumerate(answers.domains):
+        yield from _domain_drafts(domain, f"domains[{i}]", answers.ports)
+    for i, service in enumerate(answers.services):
+        yield from _service_drafts(service, f"services[{i}]", answers.ports)
+    for i, organisation in enumerate(answers.organisations):
+        values = _values_of(organisation)
+        yield Draft("organisation", values, f"organisations[{i}]")
+    for i, link in enumerate(answers.links):
+        a, b = sorted((link.a, link.b))
+        values = _values_of(link) | {"a": a, "b": b}
+        yield Draft("link", values, f"links[{i}]")
+    yield Draft("weights", _values_of(answers.weights), "weights")
+
+
+def _domain_drafts(domain: DomainAnswer, where: str, ports: Ports) -> Iterator[Draft]:
+    yield Draft("domain", {"name": domain.name, "region": domain.region}, where)
+    for i, ip in enumerate(domain.entry_ips):
+        values = {
+            "name": f"{domain.name}-entry-{i + 1}",
+            "kind": core_documents.VmKind.ENTRY,
+            "domain": domain.name,
+            "address": f"{ip}:{ports.callers}",
+            "relay_address": f"{ip}:{ports.relay}",
+            "peer_address": f"{ip}:{ports.peers}",
+            "operators_address": f"{ip}:{ports.operators}",
+        }
+        yield Draft("vm", values, f"{where}.entry_ips[{i}]")
+
+
+def _service_drafts(
+    service: ServiceAnswer, where: str, ports: Ports
+) -> Iterator[Draft]:
+    values = {name: getattr(service, name) for name in SERVICE_FIELDS}
+    values["idempotent_methods"] = service.retryable_methods
+    yield Draft("service", values, where)
+    shared = {name: getattr(service, name) for name in SERVER_FIELDS}
+    for i, servers in enumerate(service.servers):
+        for j, ip in enumerate(servers.ips):
+            values = {
+                "name": f"{service.name}-{servers.domain}-{j + 1}",
+                "kind": core_documents.VmKind.SERVER,
+                "domain": servers.domain,
+                "address": f"{ip}:{ports.servers}",
+                "service": service.name,
+            }
+            yield Draft("vm", values | shared, f"{where}.servers[{i}].ips[{j}]")
+
+
+def _values_of(document: documents.Document) -> dict[str, Any]:
+    return attrs.asdict(document, recurse=False)
--- a/packages/configuration/bilberryridge/configuration/structure.py
+++ b/packages/configuration/bilberryridge/configuration/structure.py
@@ -36,6 +36,10 @@
     ----------
     file : str
     rules : Rules
+    found : list of Problem
+        What is wrong so far.
+    lines : dict of str to int
+        The line of each value that was read, by its field names.
 
     Examples
     --------
@@ -51,6 +55,7 @@
     file: str
     rules: Rules
     found: list[problems.Problem] = attrs.field(factory=list)
+    lines: dict[str, int] = attrs.field(factory=dict)
 
     def report(self, line: int, where: str, reason: str) -> Any:
         """Keep a problem; returns `MISSING`."""
@@ -69,6 +74,7 @@
         where : str
             Field names on the way to it, for the problems.
         """
+        self.lines[where] = node.line
         if attrs.has(kind):
             return self._structure_class(node, kind, where)
         if typing.get_origin(kind) is tuple:
