--- a/packages/configuration/bilberryridge/configuration/settings.py
+++ b/packages/configuration/bilberryridge/configuration/settings.py
@@ -75,6 +75,35 @@
     max_connections_per_address: int = 256
 
 
+@attrs.frozen
+class Seed:
+    """A daemon to ask for the configuration while the store can't be reached.
+
+    Parameters
+    ----------
+    vm : str
+    address : str
+        ``host:port`` of its control messages.
+    """
+
+    vm: str
+    address: str
+
+
+@attrs.frozen
+class AddressRewrite:
+    """Dial one address instead of another, as behind a translating router.
+
+    Parameters
+    ----------
+    dialled, instead : str
+        ``host:port`` each.
+    """
+
+    dialled: str
+    instead: str
+
+
 @attrs.frozen
 class Settings:
     """What a daemon knows before it reads any configuration.
@@ -93,6 +122,8 @@
         Hexadecimal SHA-256 digest of the operators' bearer token.
     limits : Limits
     log_level : LogLevel
+    seeds : tuple of Seed
+    address_rewrites : tuple of AddressRewrite
     """
 
     vm: str
@@ -105,6 +136,8 @@
     operators_token_digest: str
     limits: Limits = Limits()
     log_level: LogLevel = LogLevel.INFO
+    seeds: tuple[Seed, ...] = ()
+    address_rewrites: tuple[AddressRewrite, ...] = ()
 
 
 @attrs.frozen
@@ -122,6 +155,8 @@
     shared_key_file: str | None = None
     limits: Limits = Limits()
     log_level: LogLevel = LogLevel.INFO
+    seeds: tuple[Seed, ...] = ()
+    address_rewrites: tuple[AddressRewrite, ...] = ()
 
 
 RULES: structure.Rules = {
@@ -133,6 +168,11 @@
         "operators_token_digest": rules.check_digest,
     },
     Addresses: {field.name: rules.check_address for field in attrs.fields(Addresses)},
+    Seed: {"vm": rules.check_name, "address": rules.check_address},
+    AddressRewrite: {
+        "dialled": rules.check_address,
+        "instead": rules.check_address,
+    },
     Platform: {"store": rules.check_endpoint, "list": rules.check_endpoint},
     Limits: {
         "max_head_bytes": rules.within(1024, 1 << 20),
--- a/packages/decisions/bilberryridge/decisions/attempt_flow.py
+++ b/packages/decisions/bilberryridge/decisions/attempt_flow.py
@@ -130,6 +130,7 @@
 def _retry(
     st: state.State, now_s: float, open_req: state.Open, event: events.AttemptEnded
 ) -> None:
+    st.count("retries", event.result.value)
     open_req.excluded |= {open_req.vm}
     is_domain_full = event.result is events.AttemptResult.REFUSED
     if open_req.domain and is_domain_full:
--- a/packages/decisions/bilberryridge/decisions/effects.py
+++ b/packages/decisions/bilberryridge/decisions/effects.py
@@ -35,6 +35,8 @@
         a last look at the deadline before the first byte leaves.
     has_content : bool
         Whether a successful answer without content counts as lost.
+    trace_parent : str
+        W3C `traceparent` for the other side; empty to pass on the request's own.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     first_byte_deadline_s: float
     is_once: bool
     has_content: bool
+    trace_parent: str = ""
 
 
 @attrs.frozen
--- a/packages/transport/bilberryridge/transport/exchanges.py
+++ b/packages/transport/bilberryridge/transport/exchanges.py
@@ -268,7 +268,7 @@
     def _refuse_twin(self, ex: exchange.Exchange) -> None:
         """Refuse a request whose id is open here already, without touching that one."""
         self._counters.count("edge_twins_refused")
-        reason, outcome = outcomes.Reason.BUSY, outcomes.Outcome.NOT_RUN
+        reason, outcome = outcomes.Reason.BUSY, outcomes.Outcome.UNKNOWN
         detail = "a request with this id is open here"
         ex.refuse(outcomes.Refusal(reason, outcome, detail, BUSY_RETRY_S))
         self._by_conn.pop(ex.conn, None)
@@ -284,7 +284,7 @@
         fields = (
             *fields,
             (headers.REQUEST_ID, ex.request_id),
-            (headers.TRACE_PARENT, ex.req.trace_parent),
+            (headers.TRACE_PARENT, effect.trace_parent or ex.req.trace_parent),
         )
         target = ex.req.path
         if effect.envelope is not None:
