--- a/packages/peers/bilberryridge/peers/codec.py
+++ b/packages/peers/bilberryridge/peers/codec.py
@@ -98,7 +98,7 @@
     documents.Version, fields.text, fields.integer, fields.data(MAX_MESSAGE_BYTES)
 )
 _FIELDS: dict[type, tuple[fields.Check, ...]] = {
-    messages.Heartbeat: (fields.flag, fields.integer),
+    messages.Heartbeat: (fields.flag, fields.integer, fields.flag),
     messages.LoadDelta: (fields.array(_SERVER_LOAD, MAX_LOADS),),
     messages.Summaries: (fields.array(_SERVICE_SUMMARY, MAX_SUMMARIES),),
     messages.ConfigurationWanted: (fields.integer,),
@@ -115,6 +115,8 @@
         fields.data(MAX_MESSAGE_BYTES),
         fields.seconds,
     ),
+    messages.OutcomeWanted: (fields.text,),
+    messages.OutcomeMissing: (fields.text,),
     messages.LeavingServers: (fields.array(fields.text, MAX_SERVERS),),
 }
 _KINDS = {
@@ -124,6 +126,8 @@
     "configuration_wanted": messages.ConfigurationWanted,
     "configuration_changes": messages.ConfigurationChanges,
     "outcome_copy": messages.OutcomeCopy,
+    "outcome_wanted": messages.OutcomeWanted,
+    "outcome_missing": messages.OutcomeMissing,
     "leaving_servers": messages.LeavingServers,
 }
 _KIND_BY_TYPE = {made: kind for kind, made in _KINDS.items()}
--- a/packages/peers/bilberryridge/peers/tests/test_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_codec.py
@@ -10,7 +10,9 @@
 SUMMARY = messages.ServiceSummary("d", "s", 16, 3, 0, 1.5)
 VERSION = documents.Version("vm/a", 7, b"{}")
 BODIES = [
-    messages.Heartbeat(True, 3),
+    messages.Heartbeat(True, 3, True),
+    messages.OutcomeWanted("growers\nkey"),
+    messages.OutcomeMissing("growers\nkey"),
     messages.LoadDelta((LOAD, LOAD)),
     messages.LoadDelta(()),
     messages.Summaries((SUMMARY,)),
