Rules in force decide at each placement, not those of the arrival; membership by heartbeats in the own domain

Cause: an open request kept the service document it arrived under, so a residency rule narrowed while it waited did not hold (test_rule_narrowed_while_a_request_waits failed: the request was sent). Now both documents are looked up again before each placement. Also: a crashed daemon of the own domain no longer counts as live until the list drops it, daemons that leave or are gone are told across domains, and ranking servers, contacts and remote rooms is done on change or once a second instead of twenty times.

--- a/packages/decisions/bilberryridge/decisions/attempt_flow.py
+++ b/packages/decisions/bilberryridge/decisions/attempt_flow.py
@@ -82,9 +82,9 @@
     if event.result is events.AttemptResult.NOT_SENT:
         st.members.on_unreachable(now_s, open_req.vm)
     if event.result is events.AttemptResult.REFUSED:
-        room = st.remote_rooms.get((open_req.domain, open_req.service.name))
-        if room is not None:
-            room.n_busy = room.n_slots
+        # Its last summary was too good; the next one brings it back.
+        rooms = st.remote_rooms.get(open_req.service.name, {})
+        rooms.pop(open_req.domain, None)
 
 
 def _follow(
--- a/packages/decisions/bilberryridge/decisions/configuration_flow.py
+++ b/packages/decisions/bilberryridge/decisions/configuration_flow.py
@@ -59,6 +59,7 @@
             st.changed("document", key, "in force", "refused: not valid")
     if not changed:
         return
+    st.candidates.clear()
     st.count("configuration_changes", n=len(changed))
     st.step_daemon("configured")
     # The revision in the next message tells the peers that there is something to fetch.
--- a/packages/decisions/bilberryridge/decisions/entry_flow.py
+++ b/packages/decisions/bilberryridge/decisions/entry_flow.py
@@ -81,12 +81,18 @@
         peer = st.members.peer(vm.name)
         is_own = vm.name == st.cfg.vm
         is_leaving = _is_leaving(st, vm)
+        is_own_domain = vm.domain == st.cfg.domain
+        is_there = (
+            st.members.is_heard_daemon(now_s, vm.name)
+            if is_own_domain
+            else st.members.is_live_daemon(now_s, vm.name)
+        )
         found.append(
             entry_ranking.RankedVm(
                 vm,
                 vm.domain,
                 st.deployment.region_of(vm.domain),
-                st.members.is_live_daemon(now_s, vm.name) and not is_leaving,
+                is_there and not is_leaving,
                 len(st.open) if is_own else (peer.n_open if peer else 0),
             )
         )
--- a/packages/decisions/bilberryridge/decisions/load_flow.py
+++ b/packages/decisions/bilberryridge/decisions/load_flow.py
@@ -3,10 +3,18 @@
 import attrs
 
 from bilberryridge.core import documents, messages
-from bilberryridge.decisions import effects, events, membership, request_flow, state
+from bilberryridge.decisions import (
+    effects,
+    events,
+    membership,
+    placement,
+    request_flow,
+    state,
+)
 
 LOADS_TOLD_INTERVAL_S = 1.0
 SUMMARY_REPEAT_S = 5.0
+DEFAULT_ONE_WAY_S = 0.03
 ROOM_STALE_S = 15.0
 """After this long without a word a domain is taken to be cut off."""
 
@@ -47,9 +55,8 @@
     """Take rooms of other domains; the newest word on each counts."""
     news = [s for s in body.summaries if _is_news(st, now_s, s)]
     for summary in news:
-        st.remote_rooms[summary.domain, summary.service] = state.RemoteRoom(
-            summary.n_slots, summary.n_busy, summary.n_waiting, now_s, summary.age_s
-        )
+        by_domain = st.remote_rooms.setdefault(summary.service, {})
+        by_domain[summary.domain] = _remote(st, now_s, summary)
     is_from_outside = sender not in {vm.name for vm in st.domain_daemons(st.cfg.domain)}
     if news and is_from_outside:
         for peer in st.own_peers():
@@ -59,8 +66,30 @@
 def _is_news(st: state.State, now_s: float, summary: messages.ServiceSummary) -> bool:
     if summary.domain == st.cfg.domain or summary.domain not in st.deployment.domains:
         return False
-    known = st.remote_rooms.get((summary.domain, summary.service))
-    return known is None or now_s - known.heard_s + known.age_s > summary.age_s
+    known = st.remote_rooms.get(summary.service, {}).get(summary.domain)
+    return known is None or _age_s(now_s, known) > summary.age_s
+
+
+def _remote(
+    st: state.State, now_s: float, summary: messages.ServiceSummary
+) -> placement.RemoteDomain:
+    region = st.deployment.region_of(summary.domain)
+    one_way_s = _one_way_s(st, region)
+    return placement.RemoteDomain(
+        summary.domain, region, one_way_s, summary, read_s=now_s
+    )
+
+
+def _one_way_s(st: state.State, region: str) -> float:
+    for link in st.deployment.links.values():
+        if {link.a, link.b} == {st.cfg.region, region}:
+            return link.one_way_ms / 1e3
+    return DEFAULT_ONE_WAY_S
+
+
+def _age_s(now_s: float, remote: placement.RemoteDomain) -> float:
+    read_s = now_s if remote.read_s is None else remote.read_s
+    return now_s - read_s + remote.summary.age_s
 
 
 def on_tick(st: state.State, now_s: float) -> None:
@@ -72,16 +101,19 @@
     st.last_loads_told_s = now_s
     _tell_loads(st, now_s)
     _tell_summaries(st, now_s)
-    for key in [k for k, r in st.remote_rooms.items() if _is_stale(now_s, r)]:
-        del st.remote_rooms[key]
-
-
-def _is_stale(now_s: float, room: state.RemoteRoom) -> bool:
-    return now_s - room.heard_s > ROOM_STALE_S
+    for by_domain in st.remote_rooms.values():
+        for domain, remote in list(by_domain.items()):
+            if _age_s(now_s, remote) > ROOM_STALE_S:
+                del by_domain[domain]
 
 
 def _share_reports(st: state.State, now_s: float) -> None:
-    live = st.live_own_daemons(now_s)
+    live = sorted(st.live_own_daemons(now_s))
+    # Ranking hundreds of servers costs too much to do it again without a change.
+    shared_for = (st.replica.complete_revision, tuple(live))
+    if shared_for == st.shared_for:
+        return
+    st.shared_for = shared_for
     mine = tuple(
         (vm.name, vm.address)
         for vm in sorted(own_servers(st), key=lambda vm: vm.name)
--- a/packages/decisions/bilberryridge/decisions/membership.py
+++ b/packages/decisions/bilberryridge/decisions/membership.py
@@ -16,6 +16,8 @@
 HEARTBEAT_TIMEOUT_S = 3.0
 UNREACHABLE_HOLDS_S = 5.0
 LIST_FRESH_S = 5.0
+TOLD_HOLDS_S = 8.0
+"""How long word of a peer counts; it is repeated well within."""
 CONTACT_PATIENCE_S = 5.0
 
 
@@ -63,6 +65,12 @@
         self._list_read_s: float | None = None
         self._unreachable_until_s: dict[str, float] = {}
         self._told_leaving: dict[str, tuple[float, frozenset[str]]] = {}
+        self._began_s: float | None = None
+
+    def begin(self, now_s: float) -> None:
+        """Note when the node first saw time pass; called again, it does nothing."""
+        if self._began_s is None:
+            self._began_s = now_s
 
     def peer(self, vm: str) -> Peer | None:
         """Return what is known of a daemon."""
@@ -134,11 +142,14 @@
             return False
         return self._is_list_fresh(now_s) or not self._is_told_leaving(now_s, vm.name)
 
-    def leaving_servers(self) -> tuple[str, ...]:
-        """Return the servers that the list says are leaving or gone."""
-        return tuple(
-            vm for vm, s in self._server_states.items() if s in ("leaving", "gone")
-        )
+    def listed_leaving(self) -> set[str]:
+        """Return the VMs that the list says are leaving or gone."""
+        return {vm for vm, s in self._server_states.items() if s in ("leaving", "gone")}
+
+    def told_leaving_by(self, now_s: float, sender: str) -> frozenset[str]:
+        """Return the VMs that a daemon lately said take no new work."""
+        told_s, vms = self._told_leaving.get(sender, (float("-inf"), frozenset()))
+        return vms if now_s - told_s <= TOLD_HOLDS_S else frozenset()
 
     def is_live_daemon(self, now_s: float, vm: str) -> bool:
         """Whether a daemon is taken to be there, leaving or not."""
@@ -151,8 +162,21 @@
             return False
         if peer is not None and peer.state == "silent":
             return False
+        if self._is_told_leaving(now_s, vm):
+            return False
         return self._server_states.get(vm) != "gone"
 
+    def is_heard_daemon(self, now_s: float, vm: str) -> bool:
+        """Whether a daemon of the own failure domain is there.
+
+        All of them keep connections to each other, so silence means it is not. A node
+        that has just begun gives them time to connect.
+        """
+        if vm == self._own_vm or self.is_connected(vm):
+            return True
+        is_new = self._began_s is None or now_s - self._began_s <= HEARTBEAT_TIMEOUT_S
+        return is_new and vm not in self._peers
+
     def is_leaving_daemon(self, vm: str) -> bool:
         """Whether a daemon takes no new callers."""
         peer = self._peers.get(vm)
@@ -194,7 +218,7 @@
         return any(
             server in servers
             for told_s, servers in self._told_leaving.values()
-            if now_s - told_s <= 2 * LIST_FRESH_S
+            if now_s - told_s <= TOLD_HOLDS_S
         )
 
 
--- a/packages/decisions/bilberryridge/decisions/membership_flow.py
+++ b/packages/decisions/bilberryridge/decisions/membership_flow.py
@@ -13,6 +13,7 @@
 )
 
 LIST_TOLD_INTERVAL_S = 2.0
+CONNECT_INTERVAL_S = 1.0
 
 _HANDLERS = {
     messages.ConfigurationWanted: configuration_flow.on_wanted,
@@ -59,16 +60,19 @@
 
 def on_tick(st: state.State, now_s: float) -> None:
     """Send what is due and choose whom to stay connected to."""
+    st.members.begin(now_s)
     for vm in st.members.expire(now_s):
         st.changed("peer", vm, "connected", "silent")
-    _connect(st, now_s)
+    if now_s - st.last_connect_s >= CONNECT_INTERVAL_S:
+        st.last_connect_s = now_s
+        _connect(st, now_s)
     if now_s - st.last_heartbeat_s >= membership.HEARTBEAT_INTERVAL_S:
         st.last_heartbeat_s = now_s
         for peer in st.members.connected():
             st.send_peer(peer.vm, _heartbeat(st))
     if now_s - st.last_list_told_s >= LIST_TOLD_INTERVAL_S:
         st.last_list_told_s = now_s
-        _tell_leaving(st)
+        _tell_leaving(st, now_s)
 
 
 def _heartbeat(st: state.State) -> messages.Heartbeat:
@@ -77,12 +81,27 @@
     return messages.Heartbeat(is_leaving, len(st.open), has_store)
 
 
-def _tell_leaving(st: state.State) -> None:
-    leaving = st.members.leaving_servers()
-    if not leaving:
-        return
+def _tell_leaving(st: state.State, now_s: float) -> None:
+    own_daemons = {vm.name for vm in st.domain_daemons(st.cfg.domain)}
+    own = _own_leaving(st, now_s, own_daemons)
+    from_outside: set[str] = set()
     for peer in st.members.connected():
-        st.send_peer(peer.vm, messages.LeavingServers(leaving))
+        if peer.vm not in own_daemons:
+            from_outside |= st.members.told_leaving_by(now_s, peer.vm)
+    for peer in st.members.connected():
+        # Word from outside goes on within the domain only, so it can't come back.
+        told = own | from_outside if peer.vm in own_daemons else own
+        st.send_peer(peer.vm, messages.LeavingServers(tuple(sorted(told))))
+
+
+def _own_leaving(st: state.State, now_s: float, own_daemons: set[str]) -> set[str]:
+    absent = {
+        vm
+        for vm in own_daemons
+        if not st.members.is_heard_daemon(now_s, vm) or st.members.is_leaving_daemon(vm)
+    }
+    own_vms = own_daemons | {vm.name for vm in load_flow.own_servers(st)}
+    return absent | (st.members.listed_leaving() & own_vms)
 
 
 def _connect(st: state.State, now_s: float) -> None:
--- a/packages/decisions/bilberryridge/decisions/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/request_flow.py
@@ -7,7 +7,7 @@
 bilberryridge.decisions.attempt_flow : what comes after an attempt.
 """
 
-from bilberryridge.core import documents, messages, outcomes, requests
+from bilberryridge.core import documents, outcomes, requests
 from bilberryridge.decisions import (
     admission,
     effects,
@@ -267,11 +267,17 @@
 
 def candidates(st: state.State, service: str) -> list[placement.Candidate]:
     """Return the servers of the own failure domain that run the service."""
-    return [
-        placement.Candidate(vm, True, st.cfg.domain, st.cfg.region)
-        for vm in st.deployment.servers(st.cfg.domain)
-        if vm.service == service
-    ]
+    found = st.candidates.get(service)
+    if found is None:
+        found = [
+            placement.Candidate(vm, True, st.cfg.domain, st.cfg.region)
+            for vm in st.deployment.servers(st.cfg.domain)
+            if vm.service == service
+        ]
+        st.candidates[service] = found
+        for item in found:
+            st.loads.server(item.vm.name, service, item.vm.n_slots)
+    return found
 
 
 def dispatch(st: state.State, now_s: float, service: str) -> None:
@@ -289,8 +295,9 @@
 
 
 def _try_place(st: state.State, now_s: float, open_req: state.Open) -> bool:
-    if not is_allowed_here(st, open_req.service, open_req.organisation):
-        refuse(st, open_req, outcomes.Reason.NOT_ALLOWED_HERE)
+    reason = _bring_up_to_date(st, open_req)
+    if reason is not None:
+        refuse(st, open_req, reason)
         return True
     choice = _choose(st, now_s, open_req)
     if choice is None:
@@ -301,6 +308,21 @@
     return _send_to_domain(st, now_s, open_req, choice)
 
 
+def _bring_up_to_date(st: state.State, open_req: state.Open) -> outcomes.Reason | None:
+    """Let the rules in force now decide, not those of the arrival."""
+    service = st.deployment.services.get(open_req.service.name)
+    if service is None:
+        return outcomes.Reason.UNKNOWN_SERVICE
+    organisation = st.deployment.organisations.get(open_req.organisation.name)
+    if organisation is None:
+        return outcomes.Reason.UNAUTHENTICATED
+    open_req.service = service
+    open_req.organisation = organisation
+    if not is_allowed_here(st, service, organisation):
+        return outcomes.Reason.NOT_ALLOWED_HERE
+    return None
+
+
 def _choose(
     st: state.State, now_s: float, open_req: state.Open
 ) -> placement.Choice | None:
@@ -337,41 +359,12 @@
 ) -> list[placement.RemoteDomain]:
     """Return the other failure domains that may serve the request."""
     allowed = st.deployment.allowed_regions(open_req.service, open_req.organisation)
-    found = []
-    for (domain, service), room in st.remote_rooms.items():
-        region = st.deployment.region_of(domain)
-        if service != open_req.service.name or region not in allowed:
-            continue
-        if domain in open_req.excluded:
-            continue
-        found.append(_remote(st, now_s, domain, region, service, room))
-    return found
-
-
-def _remote(
-    st: state.State,
-    now_s: float,
-    domain: str,
-    region: str,
-    service: str,
-    room: state.RemoteRoom,
-) -> placement.RemoteDomain:
-    age_s = room.age_s + now_s - room.heard_s
-    summary = messages.ServiceSummary(
-        domain, service, room.n_slots, room.n_busy, room.n_waiting, age_s
-    )
-    link = _link(st, st.cfg.region, region)
-    return placement.RemoteDomain(domain, region, link.one_way_ms / 1e3, summary)
-
-
-def _link(st: state.State, a: str, b: str) -> documents.Link:
-    for link in st.deployment.links.values():
-        if {link.a, link.b} == {a, b}:
-            return link
-    return documents.Link(a, b, one_way_ms=DEFAULT_ONE_WAY_MS)
-
-
-DEFAULT_ONE_WAY_MS = 30.0
+    rooms = st.remote_rooms.get(open_req.service.name, {})
+    return [
+        remote
+        for domain, remote in rooms.items()
+        if remote.region in allowed and domain not in open_req.excluded
+    ]
 
 
 def _send_to_server(
--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -17,6 +17,7 @@
     loads,
     membership,
     once,
+    placement,
     prefixes,
     replica,
     retries,
@@ -120,17 +121,6 @@
         return outcomes.Outcome.NOT_RUN
 
 
-@attrs.define
-class RemoteRoom:
-    """The last summary of a domain's room for a service, and when it came."""
-
-    n_slots: int
-    n_busy: int
-    n_waiting: int
-    heard_s: float
-    age_s: float
-
-
 class State:
     """All tables of a node; each has a bound.
 
@@ -159,12 +149,15 @@
         # Members
         self.members = membership.Membership(cfg.vm)
         self.wanted_peers: tuple[tuple[str, str], ...] = ()
+        self.last_connect_s = float("-inf")
         self.last_heartbeat_s = float("-inf")
         self.last_list_told_s = float("-inf")
         # Load
         self.loads = loads.LoadBook(MAX_LOADED_SERVERS, random_state)
         self.prefixes = prefixes.PrefixBook(MAX_PREFIX_ENTRIES)
-        self.remote_rooms: dict[tuple[str, str], RemoteRoom] = {}
+        self.remote_rooms: dict[str, dict[str, placement.RemoteDomain]] = {}
+        self.candidates: dict[str, list[placement.Candidate]] = {}
+        self.shared_for: tuple[int, tuple[str, ...]] | None = None
         self.read_servers: tuple[tuple[str, str], ...] = ()
         self.last_loads_told_s = float("-inf")
         self.fresh_reports: dict[str, float] = {}
@@ -222,7 +215,7 @@
     def live_own_daemons(self, now_s: float) -> list[str]:
         """Return the live daemons of the own failure domain, this one included."""
         names = [vm.name for vm in self.domain_daemons(self.cfg.domain)]
-        live = [name for name in names if self.members.is_live_daemon(now_s, name)]
+        live = [name for name in names if self.members.is_heard_daemon(now_s, name)]
         return live if self.cfg.vm in live else [*live, self.cfg.vm]
 
     def own_peers(self) -> list[str]:
--- a/packages/decisions/bilberryridge/decisions/tests/test_once_flow.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_once_flow.py
@@ -48,7 +48,7 @@
     """The first try stays under way."""
 
 
-# What happens to the first try, where the caller retries, what it gets, how often it ran.
+# What happens to the first try, where the retry goes, what it gets, how often it ran.
 CASES = [
     (leave_in_flight, "north-0", outcomes.Reason.KEY_IN_PROGRESS, 0),
     (leave_in_flight, "north-1", outcomes.Reason.KEY_IN_PROGRESS, 0),
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/tests/test_request_flow.py
@@ -0,0 +1,251 @@
+"""Residency, forwarding, retries and refusals, counted at the servers."""
+
+import attrs
+import pytest
+
+from bilberryridge.core import documents, messages, outcomes, requests
+from bilberryridge.decisions import events, load_flow, state
+from bilberryridge.decisions.tests import fleet
+
+NORTH, SOUTH = "north-region", "south-region"
+R = outcomes.Reason
+
+
+def change(running, document, revision=2, vms=None):
+    """An operator's change that some daemons have heard of."""
+    versions = fleet.versions_of([document], revision)
+    for vm in vms or running.nodes:
+        running.give(vm, events.ConfigurationRead(1, revision, versions))
+
+
+def tell_room(running, vm, domain, n_busy=0, service=fleet.MODEL):
+    summary = messages.ServiceSummary(domain, service, 8, n_busy, 0, 0.0)
+    frame = messages.Frame("south-0", "i3", 1, messages.Summaries((summary,)))
+    running.give(vm, events.PeerSaid(frame))
+
+
+def fill(running, domain, service=fleet.MODEL):
+    for vm in running.nodes:
+        if vm.startswith(domain):
+            running.give(vm, events.LoadRead(f"{domain}-{service}", 8, 40))
+
+
+def envelope(path=("south-0",), **fields):
+    return requests.Envelope(path, "growers", 20.0, 1, **fields)
+
+
+def refusal_of(running, request_id):
+    (found,) = running.answers[request_id]
+    assert isinstance(found, outcomes.Refusal), found
+    return found
+
+
+def targets(running):
+    return [attempt.effect.vm for attempt in running.attempts]
+
+
+@pytest.mark.parametrize("narrowed", ["service", "organisation"])
+@pytest.mark.parametrize("is_forwarded", [False, True])
+def test_data_never_leaves_its_regions(narrowed, is_forwarded):
+    running = fleet.Fleet()
+    kinds = {type(doc): doc for doc in running.documents}
+    if narrowed == "service":
+        services = [d for d in running.documents if isinstance(d, documents.Service)]
+        document = next(d for d in services if d.name == fleet.MODEL)
+    else:
+        document = kinds[documents.Organisation]
+    change(running, attrs.evolve(document, regions=(SOUTH,)))
+    fields = {"envelope": envelope()} if is_forwarded else {}
+    running.send("north-0", "r", service=fleet.MODEL, **fields)
+    assert refusal_of(running, "r").reason is R.NOT_ALLOWED_HERE
+    assert not running.attempts
+
+
+def test_rule_narrowed_while_a_request_waits():
+    running = fleet.Fleet()
+    fill(running, "north")
+    running.send("north-0", "r", service=fleet.MODEL)
+    assert not running.attempts
+    service = next(
+        d for d in running.documents if getattr(d, "name", "") == fleet.MODEL
+    )
+    change(running, attrs.evolve(service, regions=(SOUTH,)))
+    running.give("north-0", events.LoadRead(f"north-{fleet.MODEL}", 0, 0))
+    assert refusal_of(running, "r").reason is R.NOT_ALLOWED_HERE
+    assert not running.attempts
+
+
+def test_full_domain_overflows_only_to_allowed_regions():
+    running = fleet.Fleet()
+    service = next(
+        d for d in running.documents if getattr(d, "name", "") == fleet.MODEL
+    )
+    change(running, attrs.evolve(service, regions=(NORTH,)))
+    fill(running, "north")
+    tell_room(running, "north-0", "south")
+    running.send("north-0", "r", service=fleet.MODEL)
+    assert not running.attempts
+
+
+def test_daemon_behind_the_sender_refuses_what_it_may_not_know_of():
+    running = fleet.Fleet()
+    ahead = attrs.evolve(envelope(), revision=7)
+    running.send("north-0", "r", service=fleet.MODEL, envelope=ahead)
+    refusal = refusal_of(running, "r")
+    assert (refusal.reason, refusal.outcome) == (
+        R.NO_CONFIGURATION,
+        outcomes.Outcome.NOT_RUN,
+    )
+
+
+@pytest.mark.parametrize(
+    "path", [(), ("north-0",), ("a", "north-0"), ("a", "b", "c"), ("a", "a")]
+)
+def test_forged_or_repeated_path_ends(path):
+    running = fleet.Fleet()
+    running.send("north-0", "r", service=fleet.MODEL, envelope=envelope(path))
+    assert refusal_of(running, "r").reason is R.HOP_LIMIT
+
+
+def test_two_full_domains_that_think_the_other_idle():
+    running = fleet.Fleet()
+    for domain, other in (("north", "south"), ("south", "north")):
+        fill(running, domain)
+        for vm in running.nodes:
+            if vm.startswith(domain):
+                tell_room(running, vm, other)
+    running.send("north-0", "r", service=fleet.MODEL)
+    n_hops = 0
+    while running.attempts and n_hops < 20:
+        n_hops += 1
+        assert running.attempts[0].effect.envelope.path == ("north-0",)
+        running.deliver_attempt()
+    assert n_hops <= 2
+    assert not running.ran
+
+
+def test_forwarded_request_is_never_sent_on():
+    running = fleet.Fleet()
+    fill(running, "north")
+    tell_room(running, "north-0", "south")
+    running.send("north-0", "r", service=fleet.MODEL, envelope=envelope())
+    refusal = refusal_of(running, "r")
+    assert (refusal.reason, refusal.outcome) == (
+        R.NO_CAPACITY,
+        outcomes.Outcome.NOT_RUN,
+    )
+    assert refusal.retry_after_s > 0
+
+
+# How the first attempt ends, whether the request may repeat, whether it is tried again.
+RETRIES = [
+    (events.AttemptResult.NOT_SENT, True, True),
+    (events.AttemptResult.REFUSED, True, True),
+    (events.AttemptResult.LOST, True, True),
+    (events.AttemptResult.TIMED_OUT, True, True),
+    (events.AttemptResult.NOT_SENT, False, True),
+    (events.AttemptResult.LOST, False, False),
+    (events.AttemptResult.TIMED_OUT, False, False),
+    (events.AttemptResult.FAILED, False, False),
+]
+
+
+@pytest.mark.parametrize(("result", "may_repeat", "is_tried_again"), RETRIES)
+def test_what_is_tried_again(result, may_repeat, is_tried_again):
+    running = fleet.Fleet()
+    method = "GET" if may_repeat else "POST"
+    key = "" if may_repeat else running.key_prefix("north-0") + "a"
+    running.send("north-0", "r", key, method=method)
+    running.end(running.attempts.pop(0), result)
+    assert bool(running.attempts) is is_tried_again
+    if not is_tried_again and result is not events.AttemptResult.FAILED:
+        assert refusal_of(running, "r").outcome is outcomes.Outcome.UNKNOWN
+
+
+def test_retries_stay_within_their_budget():
+    running = fleet.Fleet()
+    n_first, n_attempts = 300, 0
+    for i in range(n_first):
+        running.send("north-0", f"r{i}", method="GET")
+        while running.attempts:
+            n_attempts += 1
+            running.end(running.attempts.pop(0), events.AttemptResult.LOST)
+        running.tick(0.05)
+    # The initial allowance of the budget comes on top of a tenth.
+    assert n_attempts - n_first <= 0.1 * n_first + 10
+
+
+def test_nothing_is_tried_again_after_its_answer_began():
+    running = fleet.Fleet()
+    running.send("north-0", "r", service=fleet.MODEL)
+    attempt = running.attempts.pop(0)
+    running.give("north-0", events.AttemptBegan("r", 1, 0.1))
+    running.end(attempt, events.AttemptResult.LOST)
+    assert not running.attempts
+    assert not running.nodes["north-0"].state.open
+
+
+def test_forwarding_daemon_does_not_retry_for_the_entry_daemon():
+    running = fleet.Fleet()
+    running.send("north-0", "r", method="GET", envelope=envelope())
+    running.end(running.attempts.pop(0), events.AttemptResult.LOST)
+    assert not running.attempts
+    assert refusal_of(running, "r").outcome is outcomes.Outcome.UNKNOWN
+
+
+def test_waiting_request_is_refused_at_its_deadline_as_not_run():
+    running = fleet.Fleet()
+    fill(running, "north")
+    running.send("north-0", "r", service=fleet.MODEL)
+    for _ in range(40):
+        running.tick(1.0)
+    refusal = refusal_of(running, "r")
+    assert refusal.outcome is outcomes.Outcome.NOT_RUN
+    assert refusal.retry_after_s > 0
+
+
+@pytest.mark.parametrize("source", ["list", "operator", "peer"])
+def test_leaving_server_gets_nothing_new(source):
+    running = fleet.Fleet()
+    server = f"north-{fleet.MODEL}"
+    if source == "list":
+        states = ((server, events.VmState.LEAVING),)
+        running.give("north-0", events.VmListRead(states))
+    elif source == "operator":
+        vm = next(d for d in running.documents if getattr(d, "name", "") == server)
+        change(running, attrs.evolve(vm, is_draining=True))
+    else:
+        told = messages.LeavingServers((server,))
+        running.give(
+            "north-0", events.PeerSaid(messages.Frame("north-1", "i2", 1, told))
+        )
+    running.send("north-0", "r", service=fleet.MODEL)
+    assert server not in targets(running)
+    assert refusal_of(running, "r").reason is R.NO_SERVER
+
+
+def test_server_that_comes_back_under_its_name_is_used_again():
+    running = fleet.Fleet()
+    server = f"north-{fleet.MODEL}"
+    for listed in (events.VmState.LEAVING, events.VmState.LIVE):
+        running.give("north-0", events.VmListRead(((server, listed),)))
+    running.send("north-0", "r", service=fleet.MODEL)
+    assert targets(running) == [server]
+
+
+def test_domain_without_word_is_not_forwarded_to():
+    running = fleet.Fleet()
+    fill(running, "north")
+    tell_room(running, "north-0", "south")
+    running.tick(load_flow.ROOM_STALE_S + 2)
+    fill(running, "north")
+    running.send("north-0", "r", service=fleet.MODEL)
+    assert not running.attempts
+
+
+def test_open_requests_are_bounded():
+    running = fleet.Fleet()
+    node = running.nodes["north-0"].state
+    node.open.update((f"x{i}", None) for i in range(state.MAX_OPEN_REQUESTS))
+    running.send("north-0", "r", service=fleet.MODEL)
+    assert refusal_of(running, "r").reason is R.BUSY
