--- a/packages/decisions/bilberryridge/decisions/tests/test_configuration_flow.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_configuration_flow.py
@@ -64,7 +64,8 @@
     running.give("north-0", events.ConfigurationRead(8, 9, versions))
     assert revisions(running)["north-0"] == 1
     wanted = [e for _, e in running.effects if isinstance(e, effects.WatchStore)]
-    assert wanted and wanted[-1].after_revision == 1
+    assert wanted
+    assert wanted[-1].after_revision == 1
 
 
 def test_two_daemons_of_a_domain_watch_while_they_reach_the_store():
--- /dev/null
+++ b/packages/standins/bilberryridge/standins/capacity.py
@@ -0,0 +1,324 @@
+"""Control's cost at the size of the users' letter, from slopes measured here.
+
+Runs the nodes of a deployment in one process: the pure decisions and the real codec,
+without sockets. Each second of its time, every node ticks, reads its load reports,
+takes its share of configuration changes and hears its peers. What one chosen node costs
+is measured in processor time, bytes sent and memory.
+
+    python -m bilberryridge.standins.capacity --n-domains 67 --seconds 20
+
+See Also
+--------
+docs/CAPACITY.md : what the figures are used for.
+"""
+
+import collections
+import json
+import random
+import time
+import tracemalloc
+from typing import Annotated
+
+import attrs
+import typer
+
+from bilberryridge.core import documents, encoding, messages
+from bilberryridge.decisions import effects, events, node, state
+from bilberryridge.peers import codec
+
+TICKS_PER_S = round(1 / events.TICK_INTERVAL_S)
+CHANGES_PER_DAY = 48_000
+S_PER_DAY = 86_400
+WARM_UP_S = 6
+N_MODELS = 6
+N_SLOTS = 16
+WEBSOCKET_OVERHEAD_BYTES = 8
+TCP_IP_OVERHEAD_BYTES = 52
+
+
+@attrs.frozen
+class Size:
+    """How large a deployment is."""
+
+    n_domains: int
+    n_daemons: int
+    n_servers: int
+    n_organisations: int
+    n_regions: int
+
+
+@attrs.frozen
+class Cost:
+    """What control costs one daemon.
+
+    Parameters
+    ----------
+    cpu_share : float
+        Of one core, for decisions and codec.
+    sent_bytes_per_s, received_bytes_per_s : float
+        With the overhead of websocket, TCP and IP.
+    n_messages_per_s : float
+    n_peers : int
+    sent_by_kind : dict of str to float
+        Bytes sent a second by kind of message.
+    """
+
+    cpu_share: float
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+    n_messages_per_s: float
+    n_peers: int
+    sent_by_kind: dict[str, float]
+
+
+def make_documents(size: Size) -> list[documents.Document]:
+    """Make the documents of a deployment of that size."""
+    regions = tuple(f"region-{i}" for i in range(size.n_regions))
+    models = [f"model-{i}" for i in range(N_MODELS)]
+    kind = documents.ServiceKind.MODEL
+    found: list[documents.Document] = [
+        documents.Service(name, kind, regions) for name in models
+    ]
+    for i in range(size.n_organisations):
+        digest = f"{i:064x}"
+        home = regions[i % size.n_regions]
+        found.append(documents.Organisation(f"org-{i}", home, (), (digest,)))
+    for i in range(size.n_domains):
+        domain = f"domain-{i}"
+        found.append(documents.Domain(domain, regions[i % size.n_regions]))
+    for i in range(size.n_daemons):
+        found.append(_entry_vm(i, f"domain-{i % size.n_domains}"))
+    for i in range(size.n_servers):
+        domain = f"domain-{i % size.n_domains}"
+        found.append(_server(i, domain, models[i // size.n_domains % N_MODELS]))
+    return found
+
+
+def _entry_vm(i: int, domain: str) -> documents.Vm:
+    host = f"10.0.{i // 250}.{i % 250}"
+    ports = [f"{host}:{port}" for port in (8080, 8081, 8082, 8083)]
+    return documents.Vm(f"entry-{i}", documents.VmKind.ENTRY, domain, *ports)
+
+
+def _server(i: int, domain: str, service: str) -> documents.Vm:
+    address = f"10.{1 + i // 62500}.{i // 250 % 250}.{i % 250}:9000"
+    return documents.Vm(
+        f"server-{i}",
+        documents.VmKind.SERVER,
+        domain,
+        address,
+        service=service,
+        n_slots=N_SLOTS,
+        tokens_per_s=400.0,
+    )
+
+
+def versions_of(
+    found: list[documents.Document], revision: int
+) -> tuple[documents.Version, ...]:
+    """Return the documents as the store holds them."""
+    by_type = {cls: kind for kind, cls in documents.KINDS.items()}
+    return tuple(
+        documents.Version(
+            f"{by_type[type(doc)]}/{doc.name}",  # type: ignore[union-attr]
+            revision,
+            encoding.to_json(doc),
+        )
+        for doc in found
+    )
+
+
+class Fleet:
+    """All nodes of a deployment and the messages between them.
+
+    Only the nodes around the measured one run: its domain and its contacts. The others
+    would cost it nothing.
+    """
+
+    def __init__(self, size: Size, seed: int):
+        self.size = size
+        self.random = random.Random(seed)
+        self.now_s = 0.0
+        self.documents = make_documents(size)
+        self.versions = versions_of(self.documents, 1)
+        self.revision = 1
+        self.nodes: dict[str, node.Node] = {}
+        self.under_way: collections.deque[tuple[str, bytes]] = collections.deque()
+        self.reads: dict[str, tuple[tuple[str, str], ...]] = {}
+        self.wanted: dict[str, set[str]] = {}
+        self.watching: set[str] = set()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.received_bytes: collections.Counter[str] = collections.Counter()
+        self.n_messages: collections.Counter[str] = collections.Counter()
+        self.sent_by_kind: collections.Counter[tuple[str, str]]
+        self.sent_by_kind = collections.Counter()
+        self.cpu_s: collections.defaultdict[str, float]
+        self.cpu_s = collections.defaultdict(float)
+
+    def start(self, vm: str, domain: str, region: str) -> None:
+        """Start a node with the whole configuration."""
+        cfg = state.NodeSettings(vm, domain, region, f"i-{vm}", b"secret")
+        self.nodes[vm] = node.Node(cfg, random.Random(self.random.random()))
+        self.wanted[vm] = set()
+        self.give(vm, events.ConfigurationRead(0, 1, self.versions))
+        self.give(vm, events.StoreReachable(True))
+
+    def give(self, vm: str, event: events.Event) -> None:
+        """Hand a node an event; take its effects in."""
+        began_s = time.process_time()
+        out = self.nodes[vm].handle(self.now_s, event)
+        for effect in out:
+            if isinstance(effect, effects.SendPeer):
+                self._send(vm, effect)
+        self.cpu_s[vm] += time.process_time() - began_s
+        for effect in out:
+            self._take(vm, effect)
+
+    def _send(self, vm: str, effect: effects.SendPeer) -> None:
+        frame = messages.Frame(vm, f"i-{vm}", effect.revision, effect.body)
+        data = codec.encode(frame)
+        n_bytes = len(data) + WEBSOCKET_OVERHEAD_BYTES + TCP_IP_OVERHEAD_BYTES
+        self.sent_bytes[vm] += n_bytes
+        self.received_bytes[effect.vm] += n_bytes
+        self.n_messages[vm] += 1
+        self.sent_by_kind[vm, codec.kind_of(effect.body)] += n_bytes
+        self.under_way.append((effect.vm, data))
+
+    def _take(self, vm: str, effect: effects.Effect) -> None:
+        if isinstance(effect, effects.ConnectPeers):
+            self._connect(vm, {name for name, _ in effect.vms})
+        elif isinstance(effect, effects.ReadLoads):
+            self.reads[vm] = effect.servers
+        elif isinstance(effect, effects.WatchStore):
+            (self.watching.add if effect.is_wanted else self.watching.discard)(vm)
+
+    def _connect(self, vm: str, wanted: set[str]) -> None:
+        for other in wanted - self.wanted[vm]:
+            if other in self.nodes:
+                self.give(vm, events.PeerUp(other, f"i-{other}"))
+                self.give(other, events.PeerUp(vm, f"i-{vm}"))
+        self.wanted[vm] = wanted
+
+    def deliver(self) -> None:
+        """Let every message under way arrive."""
+        while self.under_way:
+            vm, data = self.under_way.popleft()
+            if vm not in self.nodes:
+                continue
+            began_s = time.process_time()
+            frame = codec.decode(data)
+            self.cpu_s[vm] += time.process_time() - began_s
+            if isinstance(frame, messages.Frame):
+                self.give(vm, events.PeerSaid(frame))
+
+    def forget_costs(self) -> None:
+        """Begin to count anew."""
+        self.sent_bytes.clear()
+        self.received_bytes.clear()
+        self.n_messages.clear()
+        self.sent_by_kind.clear()
+        self.cpu_s.clear()
+
+    def run_second(self, n_changes: int) -> None:
+        """Let one second pass."""
+        for tick in range(TICKS_PER_S):
+            self.now_s += events.TICK_INTERVAL_S
+            if tick < n_changes:
+                self._change()
+            for vm in self.nodes:
+                if tick == 0:
+                    self._read_loads(vm)
+                self.give(vm, events.Tick())
+            self.deliver()
+
+    def _read_loads(self, vm: str) -> None:
+        for server, _ in self.reads.get(vm, ()):
+            n_running = self.random.randrange(N_SLOTS + 1)
+            self.give(vm, events.LoadRead(server, n_running, 0))
+
+    def _change(self) -> None:
+        before, self.revision = self.revision, self.revision + 1
+        name = f"org-{self.random.randrange(self.size.n_organisations)}"
+        document = documents.Organisation(name, "region-0", (), ("0" * 64,))
+        versions = versions_of([document], self.revision)
+        for vm in sorted(self.watching):
+            read = events.ConfigurationRead(before, self.revision, versions)
+            self.give(vm, read)
+
+
+def measure(size: Size, n_seconds: int, seed: int) -> Cost:
+    """Measure what control costs the busiest daemon of one domain."""
+    fleet = Fleet(size, seed)
+    _start_neighbours(fleet)
+    rate = CHANGES_PER_DAY / S_PER_DAY
+    owed = 0.0
+    for second in range(WARM_UP_S + n_seconds):
+        if second == WARM_UP_S:
+            fleet.forget_costs()
+        owed += rate
+        fleet.run_second(int(owed))
+        owed -= int(owed)
+    own = [vm for vm, n in fleet.nodes.items() if n.state.cfg.domain == "domain-0"]
+    busiest = max(own, key=lambda vm: fleet.sent_bytes[vm])
+    return Cost(
+        max(fleet.cpu_s[vm] for vm in own) / n_seconds,
+        fleet.sent_bytes[busiest] / n_seconds,
+        max(fleet.received_bytes[vm] for vm in own) / n_seconds,
+        fleet.n_messages[busiest] / n_seconds,
+        len(fleet.nodes[busiest].state.members.connected()),
+        {
+            kind: n_bytes / n_seconds
+            for (vm, kind), n_bytes in fleet.sent_by_kind.items()
+            if vm == busiest
+        },
+    )
+
+
+def _start_neighbours(fleet: Fleet) -> None:
+    # Domain 0 as a whole, and one daemon in each other domain to talk to.
+    for i in range(fleet.size.n_daemons):
+        domain = i % fleet.size.n_domains
+        if domain == 0 or i < fleet.size.n_domains:
+            region = f"region-{domain % fleet.size.n_regions}"
+            fleet.start(f"entry-{i}", f"domain-{domain}", region)
+
+
+def measure_memory(size: Size) -> int:
+    """Return the bytes that the whole configuration takes in one node."""
+    versions = versions_of(make_documents(size), 1)
+    tracemalloc.start()
+    cfg = state.NodeSettings("entry-0", "domain-0", "region-0", "i", b"secret")
+    one = node.Node(cfg, random.Random(1))
+    # A copy of each value, as it would come off the wire.
+    fresh = tuple(
+        documents.Version(v.key + "", v.revision, bytes(bytearray(v.value)))
+        for v in versions
+    )
+    one.handle(0.0, events.ConfigurationRead(0, 1, fresh))
+    del fresh
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used
+
+
+def main(
+    n_domains: Annotated[int, typer.Option(help="Failure domains.")] = 67,
+    n_daemons: Annotated[int, typer.Option(help="Daemons.")] = 380,
+    n_servers: Annotated[int, typer.Option(help="Replicas.")] = 12_000,
+    n_organisations: Annotated[int, typer.Option(help="Organisations.")] = 2_100,
+    n_regions: Annotated[int, typer.Option(help="Regions.")] = 20,
+    seconds: Annotated[int, typer.Option(help="Of the nodes' time.")] = 20,
+    seed: Annotated[int, typer.Option(help="Of all randomness.")] = 1,
+) -> None:
+    """Print what control costs one daemon at a size, and what its state takes."""
+    size = Size(n_domains, n_daemons, n_servers, n_organisations, n_regions)
+    report = {
+        "size": attrs.asdict(size),
+        "cost": attrs.asdict(measure(size, seconds, seed)),
+        "configuration_bytes": measure_memory(size),
+    }
+    print(json.dumps(report, indent=1))
+
+
+if __name__ == "__main__":
+    typer.run(main)
