--- a/packages/standins/bilberryridge/standins/capacity.py
+++ b/packages/standins/bilberryridge/standins/capacity.py
@@ -96,8 +96,15 @@
 
 def _entry_vm(i: int, domain: str) -> documents.Vm:
     host = f"10.0.{i // 250}.{i % 250}"
-    ports = [f"{host}:{port}" for port in (8080, 8081, 8082, 8083)]
-    return documents.Vm(f"entry-{i}", documents.VmKind.ENTRY, domain, *ports)
+    return documents.Vm(
+        f"entry-{i}",
+        documents.VmKind.ENTRY,
+        domain,
+        address=f"{host}:8080",
+        relay_address=f"{host}:8081",
+        peer_address=f"{host}:8082",
+        operators_address=f"{host}:8083",
+    )
 
 
 def _server(i: int, domain: str, service: str) -> documents.Vm:
