--- /dev/null
+++ b/packages/standins/bilberryridge/standins/layout.py
@@ -0,0 +1,319 @@
+"""What a fleet on loopback consists of: names, addresses, documents and files.
+
+Every VM has its own address ``127.<net>.<domain>.<host>``; what one failure domain
+dials of another one or of the platform may lead through `links`.
+
+See Also
+--------
+bilberryridge.standins.fleet : runs it.
+"""
+
+import hashlib
+from typing import Any
+
+import attrs
+
+from bilberryridge.core import documents
+from bilberryridge.standins import batch
+
+DEPLOYMENT = "yard"
+MODEL = "grower-assistant"
+PLAIN = "order-desk"
+SHARED_KEY = "a key that only this fleet's daemons have"
+OPERATORS_TOKEN = "operators"
+
+CALLERS_PORT = 8080
+RELAY_PORT = 8081
+PEERS_PORT = 8082
+OPERATORS_PORT = 8083
+SERVER_PORT = 9000
+STORE_PORT = 2379
+LIST_PORT = 8500
+CONTROL_PORT = 7001
+
+PLATFORM = "platform"
+"""The place of the store and of the list, beside the failure domains."""
+
+PLATFORM_HOST = 1
+LINKS_HOST = 2
+FIRST_ENTRY_HOST = 10
+FIRST_SERVER_HOST = 100
+FIRST_LINK_NET = 100
+LINKS_PER_NET = 200
+N_NETS = 250
+ONE_WAY_MS = 2.0
+
+
+@attrs.frozen
+class DomainLayout:
+    """One failure domain.
+
+    Parameters
+    ----------
+    name, region : str
+    n_entry_vms, n_engines, n_plain : int
+    engine : dict
+        Fields of `engine.Settings` and, in `speed`, of `batch.Speed`.
+    plain : dict
+        Fields of `plain.Settings`.
+    """
+
+    name: str
+    region: str
+    n_entry_vms: int = 2
+    n_engines: int = 1
+    n_plain: int = 1
+    engine: dict[str, Any] = attrs.field(factory=dict)
+    plain: dict[str, Any] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class Layout:
+    """A fleet.
+
+    Parameters
+    ----------
+    net : int
+        Second octet of all its addresses.
+    domains : tuple of DomainLayout
+    organisations : tuple of documents.Organisation
+        Their callers' token is `token_of` their name.
+    has_links : bool
+        Whether traffic between places passes `links`.
+    services : dict
+        Fields of `documents.Service` by name that differ.
+    """
+
+    net: int
+    domains: tuple[DomainLayout, ...]
+    organisations: tuple[documents.Organisation, ...]
+    has_links: bool = False
+    services: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+
+    def host(self, third: int, fourth: int) -> str:
+        """Return an address of the fleet's own net."""
+        return f"127.{self.net}.{third}.{fourth}"
+
+    @property
+    def platform_host(self) -> str:
+        """Address of the store and of the list."""
+        return self.host(0, PLATFORM_HOST)
+
+    @property
+    def links_control(self) -> str:
+        """``host:port`` of the links' control port."""
+        return f"{self.host(0, LINKS_HOST)}:{CONTROL_PORT}"
+
+    @property
+    def platform_control(self) -> str:
+        """``host:port`` of the platform's control port."""
+        return f"{self.platform_host}:{CONTROL_PORT}"
+
+    def vms(self) -> list[documents.Vm]:
+        """Return the documents of all VMs."""
+        return [
+            vm
+            for index, domain in enumerate(self.domains, start=1)
+            for vm in (*self._entry_vms(index, domain), *self._servers(index, domain))
+        ]
+
+    def entry_vms(self) -> list[documents.Vm]:
+        """Return the documents of the entry VMs."""
+        return [vm for vm in self.vms() if vm.kind is documents.VmKind.ENTRY]
+
+    def servers(self) -> list[documents.Vm]:
+        """Return the documents of the backend servers."""
+        return [vm for vm in self.vms() if vm.kind is documents.VmKind.SERVER]
+
+    def all_documents(self) -> list[documents.Document]:
+        """Return all documents of the configuration."""
+        regions = tuple(sorted({domain.region for domain in self.domains}))
+        pairs = [(a, b) for a in regions for b in regions if a <= b]
+        return [
+            *(documents.Domain(d.name, d.region) for d in self.domains),
+            *self.vms(),
+            self._service(MODEL, documents.ServiceKind.MODEL, regions),
+            self._service(PLAIN, documents.ServiceKind.PLAIN, regions),
+            *(
+                attrs.evolve(org, token_digests=(digest_of(token_of(org.name)),))
+                for org in self.organisations
+            ),
+            *(documents.Link(a, b, ONE_WAY_MS) for a, b in pairs),
+            documents.Weights(),
+        ]
+
+    def domain(self, name: str) -> DomainLayout:
+        """Return a failure domain by its name."""
+        return next(domain for domain in self.domains if domain.name == name)
+
+    def _service(
+        self, name: str, kind: documents.ServiceKind, regions: tuple[str, ...]
+    ) -> documents.Service:
+        service = documents.Service(name, kind, regions)
+        return attrs.evolve(service, **self.services.get(name, {}))
+
+    def _entry_vms(self, index: int, domain: DomainLayout) -> list[documents.Vm]:
+        hosts = [
+            self.host(index, FIRST_ENTRY_HOST + n) for n in range(domain.n_entry_vms)
+        ]
+        return [
+            documents.Vm(
+                name=f"{domain.name}-entry-{n}",
+                kind=documents.VmKind.ENTRY,
+                domain=domain.name,
+                address=f"{host}:{CALLERS_PORT}",
+                relay_address=f"{host}:{RELAY_PORT}",
+                peer_address=f"{host}:{PEERS_PORT}",
+                operators_address=f"{host}:{OPERATORS_PORT}",
+            )
+            for n, host in enumerate(hosts, start=1)
+        ]
+
+    def _servers(self, index: int, domain: DomainLayout) -> list[documents.Vm]:
+        named = [
+            *(
+                (MODEL, f"{domain.name}-engine-{n + 1}")
+                for n in range(domain.n_engines)
+            ),
+            *((PLAIN, f"{domain.name}-plain-{n + 1}") for n in range(domain.n_plain)),
+        ]
+        return [
+            documents.Vm(
+                name=name,
+                kind=documents.VmKind.SERVER,
+                domain=domain.name,
+                address=f"{self.host(index, FIRST_SERVER_HOST + n)}:{SERVER_PORT}",
+                service=service,
+                n_slots=_n_slots(domain, service),
+                tokens_per_s=_tokens_per_s(domain, service),
+            )
+            for n, (service, name) in enumerate(named)
+        ]
+
+
+def _n_slots(domain: DomainLayout, service: str) -> int:
+    if service == MODEL:
+        return _speed(domain).n_slots
+    return int(domain.plain.get("n_slots", 8))
+
+
+def _tokens_per_s(domain: DomainLayout, service: str) -> float:
+    speed = _speed(domain)
+    return speed.n_slots / speed.full_step_s if service == MODEL else 0.0
+
+
+def _speed(domain: DomainLayout) -> batch.Speed:
+    return batch.Speed(**domain.engine.get("speed", {}))
+
+
+def token_of(name: str) -> str:
+    """Return the bearer token of an organisation's callers."""
+    return f"token of {name}".replace(" ", "-")
+
+
+def digest_of(token: str) -> str:
+    """Return a token's digest as documents hold it."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def platform_file(layout: Layout) -> dict[str, Any]:
+    """Return the configuration of `platform_server`."""
+    host = layout.platform_host
+    return {
+        "store": f"{host}:{STORE_PORT}",
+        "list": f"{host}:{LIST_PORT}",
+        "control": layout.platform_control,
+        "vms": {vm.name: "live" for vm in layout.vms()},
+    }
+
+
+def server_file(layout: Layout, vm: documents.Vm) -> dict[str, Any]:
+    """Return the configuration of `servers` for one backend server."""
+    domain = layout.domain(vm.domain)
+    fields = {"name": vm.name, "address": vm.address}
+    if vm.service == MODEL:
+        return {"engines": [{**fields, "model": MODEL, **domain.engine}]}
+    return {"plain": [{**fields, **domain.plain}]}
+
+
+def links_file(layout: Layout) -> dict[str, Any]:
+    """Return the configuration of `links`."""
+    places = [*(domain.name for domain in layout.domains), PLATFORM]
+    pairs = [(a, b) for n, a in enumerate(places) for b in places[n + 1 :]]
+    return {
+        "control": layout.links_control,
+        "trunks": [{"name": f"{a}~{b}", "one_way_ms": ONE_WAY_MS} for a, b in pairs],
+        "pairs": [{"a": a, "b": b, "trunk": f"{a}~{b}"} for a, b in pairs],
+        "links": [attrs.asdict(link) for link in _links(layout)],
+    }
+
+
+def daemon_file(
+    layout: Layout, vm: documents.Vm, seeds: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    """Return the settings of one daemon; `seeds` are names of entry VMs."""
+    instead = {
+        link.target: link.listen for link in _links(layout) if link.viewer == vm.domain
+    }
+    store = f"{layout.platform_host}:{STORE_PORT}"
+    vm_list = f"{layout.platform_host}:{LIST_PORT}"
+    peers = {peer.name: peer.peer_address for peer in layout.entry_vms()}
+    return {
+        "vm": vm.name,
+        "domain": vm.domain,
+        "region": layout.domain(vm.domain).region,
+        "deployment": DEPLOYMENT,
+        "addresses": {
+            "callers": vm.address,
+            "relay": vm.relay_address,
+            "peers": vm.peer_address,
+            "operators": vm.operators_address,
+        },
+        "platform": {
+            "store": f"http://{instead.get(store, store)}",
+            "list": f"http://{instead.get(vm_list, vm_list)}",
+        },
+        "shared_key": SHARED_KEY,
+        "operators_token_digest": digest_of(OPERATORS_TOKEN),
+        "seeds": [
+            {"vm": name, "address": instead.get(peers[name], peers[name])}
+            for name in seeds
+        ],
+        "address_rewrites": [
+            {"dialled": target, "instead": listen}
+            for target, listen in instead.items()
+            if target not in (store, vm_list)
+        ],
+    }
+
+
+@attrs.frozen
+class _Link:
+    listen: str
+    target: str
+    viewer: str
+    place: str
+
+
+def _links(layout: Layout) -> list[_Link]:
+    if not layout.has_links:
+        return []
+    targets = [
+        (PLATFORM, f"{layout.platform_host}:{STORE_PORT}"),
+        (PLATFORM, f"{layout.platform_host}:{LIST_PORT}"),
+        *((vm.domain, vm.relay_address) for vm in layout.entry_vms()),
+        *((vm.domain, vm.peer_address) for vm in layout.entry_vms()),
+    ]
+    wanted = [
+        (viewer.name, place, target)
+        for viewer in layout.domains
+        for place, target in targets
+        if place != viewer.name
+    ]
+    found = []
+    for n, (viewer_name, place, target) in enumerate(wanted):
+        third, fourth = divmod(n, LINKS_PER_NET)
+        listen = f"{layout.host(FIRST_LINK_NET + third, fourth + 1)}"
+        port = target.rpartition(":")[2]
+        found.append(_Link(f"{listen}:{port}", target, viewer_name, place))
+    return found
--- /dev/null
+++ b/packages/standins/bilberryridge/standins/processes.py
@@ -0,0 +1,100 @@
+"""Child processes of tests: the only place that starts, signals and ends any."""
+
+import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+
+END_PATIENCE_S = 5.0
+
+
+class Processes:
+    """Child processes by name, each with its log file.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where their output goes.
+    """
+
+    def __init__(self, folder: pathlib.Path):
+        self._folder = folder
+        self._children: dict[str, subprocess.Popen] = {}
+        self._frozen: set[str] = set()
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Run a module under a name whose last process has ended."""
+        assert not self.is_running(name), f"{name} runs already"
+        with self.log_path(name).open("ab") as log:
+            self._children[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def log_path(self, name: str) -> pathlib.Path:
+        """Return the file that a child's output goes to."""
+        return self._folder / f"{name}.log"
+
+    def is_running(self, name: str) -> bool:
+        """Whether a child is there, frozen or not."""
+        child = self._children.get(name)
+        return child is not None and child.poll() is None
+
+    def exit_status(self, name: str) -> int | None:
+        """Return the exit status of a child that ended; None while it runs."""
+        return self._children[name].poll()
+
+    def kill(self, name: str) -> None:
+        """End a child at once; it can do nothing any more when this returns."""
+        self._children[name].kill()
+        self._children[name].wait()
+        self._frozen.discard(name)
+
+    def terminate(self, name: str) -> None:
+        """Ask a child to stop."""
+        self._children[name].send_signal(signal.SIGTERM)
+
+    def freeze(self, name: str) -> None:
+        """Stop a child in the middle of what it does."""
+        self._children[name].send_signal(signal.SIGSTOP)
+        self._frozen.add(name)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen child go on."""
+        self._children[name].send_signal(signal.SIGCONT)
+        self._frozen.discard(name)
+
+    def end(self) -> None:
+        """End every child."""
+        for name in [n for n in self._children if self.is_running(n)]:
+            self._children[name].kill()
+        for child in self._children.values():
+            child.wait(END_PATIENCE_S)
+
+
+@contextlib.contextmanager
+def open_processes(folder: pathlib.Path) -> Iterator[Processes]:
+    """Have child processes that end with the context."""
+    children = Processes(folder)
+    try:
+        yield children
+    finally:
+        children.end()
+
+
+@contextlib.contextmanager
+def ended_by_signals() -> Iterator[None]:
+    """Let SIGTERM end this process as an exception, so that contexts close."""
+
+    def leave(signum: int, _frame: object) -> None:
+        raise SystemExit(128 + signum)
+
+    before = signal.signal(signal.SIGTERM, leave)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGTERM, before)
--- /dev/null
+++ b/packages/standins/bilberryridge/standins/sending.py
@@ -0,0 +1,126 @@
+"""A caller's requests to a fleet, and whether an answer is the right one whole.
+
+See Also
+--------
+bilberryridge.standins.caller : sends one request.
+bilberryridge.standins.expected : the right answers.
+"""
+
+import json
+from typing import Any
+
+import attrs
+
+from bilberryridge.standins import caller, expected, fleet, layout
+
+BOOKING_PATH = "/bookings"
+PATIENCE_S = 60.0
+
+
+@attrs.frozen
+class Sent:
+    """A request that has its answer.
+
+    Parameters
+    ----------
+    req : caller.Request
+    answer : caller.Answer
+    """
+
+    req: caller.Request
+    answer: caller.Answer
+
+    @property
+    def request_id(self) -> str:
+        """What the entry daemon named it."""
+        return self.answer.headers.get("x-request-id", "")
+
+    @property
+    def key(self) -> str:
+        """Its idempotency key; empty when it has none."""
+        return self.req.headers.get("idempotency-key", "")
+
+    @property
+    def problem(self) -> str:
+        """The stable end of a refusal's type; empty for an answer."""
+        body = self.answer.json() if self.answer.status >= 400 else None
+        return str((body or {}).get("type", "")).rpartition(":")[2]
+
+    @property
+    def is_right(self) -> bool:
+        """Whether all of the right answer came, byte for byte."""
+        if self.answer.status != 200 or not self.answer.is_whole:
+            return False
+        if self.req.target.startswith("/services/"):
+            path = self.req.target.removeprefix(f"/services/{layout.PLAIN}")
+            wanted = expected.plain(self.req.method, path, self.req.body)
+            return self.answer.body == wanted
+        return self.answer.text() == expected.text(json.loads(self.req.body))
+
+    def __str__(self) -> str:
+        said = self.answer.error or self.problem or ("right" if self.is_right else "-")
+        outcome = f" {self.answer.outcome}" if self.answer.outcome else ""
+        return f"{self.answer.status} {said}{outcome}"
+
+
+@attrs.frozen
+class Caller:
+    """A caller of one organisation.
+
+    Parameters
+    ----------
+    running : fleet.Fleet
+    organisation : str
+    """
+
+    running: fleet.Fleet
+    organisation: str
+
+    async def ask_entry(self, via: str) -> dict[str, Any]:
+        """Ask an entry VM which ones to use, and for a key prefix."""
+        sent = await self._send(via, "GET", "/v1/entry")
+        return sent.answer.json() if sent.answer.status == 200 else {}
+
+    async def chat(
+        self, via: str, prompt: str, max_tokens: int = 16, is_streamed: bool = True
+    ) -> Sent:
+        """Ask the model."""
+        body = {
+            "model": layout.MODEL,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens,
+            "stream": is_streamed,
+        }
+        return await self._send(
+            via, "POST", "/v1/chat/completions", json.dumps(body).encode()
+        )
+
+    async def book(self, via: str, key: str, order: str) -> Sent:
+        """Send a booking, which may not run twice."""
+        body = json.dumps({"order": order}).encode()
+        target = f"/services/{layout.PLAIN}{BOOKING_PATH}"
+        headers = {"idempotency-key": key} if key else {}
+        return await self._send(via, "POST", target, body, headers)
+
+    async def look_up(self, via: str, path: str) -> Sent:
+        """Ask the plain service something that may repeat."""
+        return await self._send(via, "GET", f"/services/{layout.PLAIN}{path}")
+
+    async def _send(
+        self,
+        via: str,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> Sent:
+        token = layout.token_of(self.organisation)
+        req = caller.Request(
+            address=self.running.vms[via].address,
+            method=method,
+            target=target,
+            headers={"authorization": f"Bearer {token}", **(headers or {})},
+            body=body,
+            timeout_s=PATIENCE_S,
+        )
+        return Sent(req, await caller.send(req))
