--- a/packages/standins/bilberryridge/standins/demo.py
+++ b/packages/standins/bilberryridge/standins/demo.py
@@ -8,12 +8,11 @@
 import asyncio
 import contextlib
 import datetime
-import os
 import sys
 from typing import Any
 
 from bilberryridge.core import documents
-from bilberryridge.standins import fleet, layout, processes, sending
+from bilberryridge.standins import fleet, layout, nets, processes, sending
 
 ORGANISATION = "landscapers"
 NEAR, FAR = "grand-haven", "painesville"
@@ -140,8 +139,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--keep", action="store_true", help="run on until Ctrl-C")
     options = parser.parse_args()
-    net = os.getpid() % layout.N_NETS + 1
-    with processes.ended_by_signals(), fleet.open_fleet(plan(net)) as running:
+    with (
+        processes.ended_by_signals(),
+        nets.held_net() as net,
+        fleet.open_fleet(plan(net)) as running,
+    ):
         try:
             with contextlib.suppress(KeyboardInterrupt):
                 return 1 if asyncio.run(run(running, options.keep)) else 0
--- a/packages/standins/bilberryridge/standins/fleet.py
+++ b/packages/standins/bilberryridge/standins/fleet.py
@@ -10,6 +10,7 @@
 import base64
 import contextlib
 import functools
+import json
 import pathlib
 import tempfile
 from collections.abc import Awaitable, Callable, Iterator
@@ -197,7 +198,7 @@
     def log_end(self, name: str) -> str:
         """Return the last lines that a process wrote."""
         lines = self.children.log_path(name).read_text().splitlines()
-        return "\n".join(lines[-N_LOG_LINES:])
+        return "\n".join(_shortened(line) for line in lines[-N_LOG_LINES:])
 
     async def _tell_links(self, name: str, kind: str) -> None:
         if self.plan.has_links:
@@ -237,10 +238,22 @@
             yield Fleet(plan, children, folder)
 
 
-def _store_key(doc: documents.Document) -> str:
+def _shortened(line: str) -> str:
+    if not line.startswith("{"):
+        return line
+    fields = json.loads(line)
+    return f"{fields['time']} {fields['message']} {fields.get('exc_info', '')}"
+
+
+def document_key(doc: documents.Document) -> str:
+    """Return a document's key ``<kind>/<name>``."""
     kind = next(k for k, made in documents.KINDS.items() if type(doc) is made)
     name = f"{doc.a}~{doc.b}" if isinstance(doc, documents.Link) else doc.name
-    return f"/bilberryridge/{layout.DEPLOYMENT}/documents/{kind}/{name}"
+    return f"{kind}/{name}"
+
+
+def _store_key(doc: documents.Document) -> str:
+    return f"/bilberryridge/{layout.DEPLOYMENT}/documents/{document_key(doc)}"
 
 
 def _to_text(key: str) -> str:
--- a/packages/standins/bilberryridge/standins/processes.py
+++ b/packages/standins/bilberryridge/standins/processes.py
@@ -35,6 +35,10 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def names(self) -> list[str]:
+        """Return the names of all children, in the order of their start."""
+        return list(self._children)
+
     def log_path(self, name: str) -> pathlib.Path:
         """Return the file that a child's output goes to."""
         return self._folder / f"{name}.log"
--- /dev/null
+++ b/packages/standins/bilberryridge/standins/request_actions.py
@@ -0,0 +1,172 @@
+"""Steps of scenarios that send requests and look at what became of them."""
+
+import asyncio
+from typing import Any
+
+from bilberryridge.standins import audit, fleet, script, sending
+
+PATIENCE_S = 45.0
+RETRY_PAUSE_S = 0.2
+ENTRY_STEP = "arrived"
+
+
+class RequestActions:
+    """Actions of callers; the arguments are those of a step.
+
+    Parameters
+    ----------
+    running : fleet.Fleet
+    tasks : asyncio.TaskGroup
+        For requests that go on beside the next steps.
+    """
+
+    def __init__(self, running: fleet.Fleet, tasks: asyncio.TaskGroup):
+        self.audit = audit.Audit(running)
+        self._running = running
+        self._tasks = tasks
+        self._keys: dict[str, str] = {}
+        self._open: dict[str, asyncio.Task[sending.Sent]] = {}
+
+    async def key(self, fields: dict[str, Any]) -> None:
+        """Make the idempotency key `name`: issued by `via`, or the caller's own."""
+        name = fields["name"]
+        prefix = ""
+        if "via" in fields:
+            entry = await self._caller(fields).ask_entry(fields["via"])
+            prefix = entry["key_prefix"]
+        self._keys[name] = prefix + name
+
+    async def send(self, fields: dict[str, Any]) -> None:
+        """Send `n` (one) requests `name` by way of `via` and go on at once.
+
+        It is a `chat` (with `max_tokens` and `is_streamed`), a `booking` (the name of
+        its key) or a `look_up` (its path).
+        """
+        names = _names(fields)
+        for name in names:
+            self._open[name] = self._tasks.create_task(self._send(name, fields))
+
+    async def answers(self, fields: dict[str, Any]) -> None:
+        """Wait for the answers `of`, each with all that the other fields say."""
+        wanted = {k: v for k, v in fields.items() if k != "of"}
+        for name in fields["of"]:
+            sent = await asyncio.wait_for(asyncio.shield(self._open[name]), PATIENCE_S)
+            self._check(name, sent, wanted)
+
+    async def retry(self, fields: dict[str, Any]) -> None:
+        """Send as `send` does, again and again until the answer fits `until`."""
+
+        async def fits() -> bool:
+            sent = await self._send(fields["name"], fields)
+            return self._mismatch(sent, fields["until"]) is None
+
+        await fleet.wait_for(f"{fields['name']}: {fields['until']}", fits, PATIENCE_S)
+
+    async def ran(self, fields: dict[str, Any]) -> None:
+        """Wait until requests `of` or under `key` ran `n` times; or check `at_most`.
+
+        With `domains`, each run was in one of these.
+        """
+
+        async def found() -> list[dict[str, Any]]:
+            return await self._runs(fields)
+
+        if "n" in fields:
+            n = fields["n"]
+
+            async def has_run() -> bool:
+                return len(await found()) >= n
+
+            await fleet.wait_for(f"{fields} ran", has_run, PATIENCE_S)
+        runs = await found()
+        if "n" in fields and len(runs) != fields["n"]:
+            raise audit.BrokenError(f"{fields}: ran {len(runs)} times")
+        if len(runs) > fields.get("at_most", len(runs)):
+            raise audit.BrokenError(f"{fields}: ran {len(runs)} times")
+        elsewhere = [
+            r for r in runs if r["domain"] not in fields.get("domains", [r["domain"]])
+        ]
+        if elsewhere:
+            raise audit.BrokenError(f"{fields}: ran at {elsewhere}")
+
+    async def server_ran(self, fields: dict[str, Any]) -> None:
+        """Wait until the backend server `name` ran `at_least`, or check `at_most`."""
+        name = fields["name"]
+        if "at_least" in fields:
+
+            async def has_run() -> bool:
+                return len(await self._running.runs(name)) >= fields["at_least"]
+
+            await fleet.wait_for(f"{fields} ran", has_run, PATIENCE_S)
+        n = len(await self._running.runs(name))
+        if n > fields.get("at_most", n):
+            raise audit.BrokenError(f"{name} ran {n}, at most {fields['at_most']}")
+
+    async def hops(self, fields: dict[str, Any]) -> None:
+        """Check that each of the answers `of` passed `at_most` daemons in all."""
+        for name in fields["of"]:
+            sent = self._open[name].result()
+            n = 0
+            for vm in self._running.plan.entry_vms():
+                target = f"/v1/explain/{sent.request_id}"
+                found = await self._running.ask_operators(vm.name, target) or {}
+                n += sum(s["step"] == ENTRY_STEP for s in found.get("steps", []))
+            if n > fields["at_most"]:
+                raise audit.BrokenError(f"{name} arrived at {n} daemons")
+
+    async def _runs(self, fields: dict[str, Any]) -> list[dict[str, Any]]:
+        if "key" in fields:
+            key = self._keys[fields["key"]]
+            return [r for r in await self._running.all_runs() if r["key"] == key]
+        ids = {self._open[name].result().request_id for name in fields["of"]}
+        return [r for r in await self._running.all_runs() if r["request_id"] in ids]
+
+    async def _send(self, name: str, fields: dict[str, Any]) -> sending.Sent:
+        person, via = self._caller(fields), fields["via"]
+        if "booking" in fields:
+            order = fields.get("order", fields["booking"])
+            sent = await person.book(via, self._keys[fields["booking"]], order)
+        elif "look_up" in fields:
+            sent = await person.look_up(via, fields["look_up"])
+        else:
+            chat = fields["chat"] or {}
+            sent = await person.chat(via, chat.get("prompt", name), **_without(chat))
+        await self.audit.add(sent)
+        return sent
+
+    def _caller(self, fields: dict[str, Any]) -> sending.Caller:
+        organisation = fields.get("organisation", script.ORGANISATION)
+        return sending.Caller(self._running, organisation)
+
+    def _check(self, name: str, sent: sending.Sent, wanted: dict[str, Any]) -> None:
+        mismatch = self._mismatch(sent, wanted)
+        if mismatch:
+            raise audit.BrokenError(f"{name}: {mismatch}: {sent}")
+
+    def _mismatch(self, sent: sending.Sent, wanted: dict[str, Any]) -> str | None:
+        seen = {
+            "right": sent.is_right,
+            "whole": sent.answer.is_whole,
+            "status": sent.answer.status,
+            "problem": sent.problem,
+            "outcome": sent.answer.outcome,
+            "retry_after": "retry-after" in sent.answer.headers,
+        }
+        for field, value in wanted.items():
+            if field == "within_s":
+                took_s = sent.answer.ended_s - sent.answer.began_s
+                if took_s > value:
+                    return f"took {took_s:.1f} s"
+            elif seen[field] not in (value if isinstance(value, list) else [value]):
+                return f"{field} is not {value}"
+        return None
+
+
+def _names(fields: dict[str, Any]) -> list[str]:
+    n = fields.get("n", 1)
+    name = fields["name"]
+    return [name] if n == 1 else [f"{name}-{i}" for i in range(1, n + 1)]
+
+
+def _without(chat: dict[str, Any]) -> dict[str, Any]:
+    return {k: v for k, v in chat.items() if k != "prompt"}
