--- a/packages/decisions/bilberryridge/decisions/admission.py
+++ b/packages/decisions/bilberryridge/decisions/admission.py
@@ -27,6 +27,9 @@
 SHORTEST_RETRY_AFTER_S = 0.5
 LONGEST_RETRY_AFTER_S = 30.0
 RETRY_JITTER = 0.5
+WAIT_SAFETY = 1.5
+LONG_RESERVE = 0.2
+OVER_SHARE_RESERVE = 0.1
 
 
 Waiting = fair_queue.Waiting
@@ -89,9 +92,7 @@
     def offer(self, now_s: float, item: Waiting) -> Queued | Refused:
         """Queue a request, or refuse it at once."""
         queue = self._queue(item.service)
-        wait_s = queue.expected_wait_s(
-            now_s, item.organisation, item.weight, item.priority
-        )
+        wait_s = queue.expected_wait_s(now_s, item)
         n_own = self._n_by_organisation.get(item.organisation, 0)
         if n_own >= self._max_queued_per_organisation:
             return self._refused(
@@ -99,20 +100,20 @@
             )
         if wait_s > self._longest_wait_s(now_s, item):
             reason = outcomes.Reason.NO_CAPACITY
-            if queue.is_over_share(now_s, item.organisation, item.weight):
+            if queue.is_over_share(now_s, item.organisation):
                 reason = outcomes.Reason.OVER_SHARE
             return self._refused(reason, wait_s, f"would wait {wait_s:.1f} s")
         displaced: tuple[Waiting, ...] = ()
         if len(self._entries) >= self._max_queued:
-            last = max(self._queues.values(), key=len).last()
-            if last is None or last.tag <= queue.tag_for(item):
+            last = self._last_of_largest(n_own)
+            if last is None:
                 return self._refused(
                     outcomes.Reason.NO_CAPACITY, wait_s, "all queues are full"
                 )
-            displaced = (last.item,)
-            self.remove(last.item.request_id)
+            displaced = (last,)
+            self.remove(last.request_id)
         self._add(queue.add(now_s, item))
-        heapq.heappush(self._deadlines, (item.deadline_s, item.request_id))
+        heapq.heappush(self._deadlines, (_latest_start_s(item), item.request_id))
         return Queued(displaced)
 
     def take(self, now_s: float, service: str) -> Waiting | None:
@@ -137,12 +138,12 @@
         self._add(entry)
 
     def expire(self, now_s: float) -> list[Waiting]:
-        """Remove and return the requests whose deadline has passed."""
+        """Remove and return the requests that can't be whole by their deadline."""
         expired = []
         while self._deadlines and self._deadlines[0][0] <= now_s:
             _, request_id = heapq.heappop(self._deadlines)
             entry = self._entries.get(request_id)
-            if entry is not None and entry.item.deadline_s <= now_s:
+            if entry is not None and _latest_start_s(entry.item) <= now_s:
                 expired.append(entry.item)
                 self.remove(request_id)
         return expired
@@ -156,7 +157,8 @@
             self._queues[entry.item.service].remove(entry)
         if len(self._deadlines) > 2 * len(self._entries) + MAX_TAKEN:
             self._deadlines = [
-                (entry.item.deadline_s, name) for name, entry in self._entries.items()
+                (_latest_start_s(entry.item), name)
+                for name, entry in self._entries.items()
             ]
             heapq.heapify(self._deadlines)
 
@@ -165,16 +167,32 @@
         return [name for name, queue in self._queues.items() if len(queue)]
 
     def expected_wait_s(self, now_s: float, service: str) -> float:
-        """How long a request of an organisation within its share would wait now."""
+        """How long it takes until all quick requests that wait now are placed."""
         queue = self._queues.get(service)
-        return 0.0 if queue is None else queue.expected_wait_s(now_s, "", 1.0)
+        return 0.0 if queue is None else queue.backlog_wait_s(now_s)
 
     def is_over_share(
         self, now_s: float, service: str, organisation: str, weight: float
     ) -> bool:
         """Whether the organisation lately had more than its share while others ask."""
         queue = self._queues.get(service)
-        return queue is not None and queue.is_over_share(now_s, organisation, weight)
+        return queue is not None and queue.is_over_share(now_s, organisation)
+
+    def reserved_share(self, now_s: float, item: Waiting) -> float:
+        """The share of each server's slots to be kept free from a request just taken.
+
+        A quick request finds a slot at once when the long ones never fill the servers,
+        and an organisation within its share when those above theirs do not.
+        """
+        queue = self._queue(item.service)
+        entry = self._taken.get(item.request_id)
+        is_due = entry is not None and entry.is_floor_due
+        share = 0.0
+        if item.priority is requests.Priority.LONG and not is_due:
+            share = LONG_RESERVE
+        if queue.is_over_share(now_s, item.organisation):
+            share = max(share, OVER_SHARE_RESERVE)
+        return share
 
     def _queue(self, service: str) -> fair_queue.ServiceQueue:
         return self._queues.setdefault(service, fair_queue.ServiceQueue())
@@ -189,12 +207,25 @@
         if not self._n_by_organisation[item.organisation]:
             del self._n_by_organisation[item.organisation]
 
+    def _last_of_largest(self, n_own: int) -> Waiting | None:
+        """The newest request of the organisation with most waiting, if over `n_own`."""
+        largest, n_largest = self._n_by_organisation.most_common(1)[0]
+        if n_largest <= n_own + 1:
+            return None
+        entries = reversed(self._entries.values())
+        return next(one.item for one in entries if one.item.organisation == largest)
+
     def _longest_wait_s(self, now_s: float, item: Waiting) -> float:
         is_quick = item.priority is requests.Priority.QUICK
         longest_s = LONGEST_QUICK_WAIT_S if is_quick else LONGEST_LONG_WAIT_S
-        return min(longest_s, item.deadline_s - now_s - item.cost)
+        left_s = _latest_start_s(item) - now_s
+        return min(longest_s, left_s / WAIT_SAFETY)
 
     def _refused(self, reason: outcomes.Reason, wait_s: float, detail: str) -> Refused:
         after_s = min(max(wait_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
         after_s *= self._random_state.uniform(1.0, 1.0 + RETRY_JITTER)
         return Refused(reason, after_s, detail)
+
+
+def _latest_start_s(item: Waiting) -> float:
+    return item.deadline_s - item.cost
--- a/packages/decisions/bilberryridge/decisions/fair_queue.py
+++ b/packages/decisions/bilberryridge/decisions/fair_queue.py
@@ -10,21 +10,23 @@
 Networking 5 (5), 1997.
 """
 
-import collections
 import heapq
 import math
 
 import attrs
 
 from bilberryridge.core import requests
+from bilberryridge.decisions import shares
 
 LONG_FLOOR = 0.2
-ACTIVE_S = 10.0
-RATE_WINDOW_S = 3.0
-PRIOR_TIME_S = 0.5
+QUICK_RATE_WINDOW_S = 5.0
+LONG_RATE_WINDOW_S = 30.0
+PRIOR_TIME_S = 1.0
 PRIOR_WAIT_S = 1.0
-OVER_SHARE_RATIO = 1.1
-MAX_ORGANISATIONS = 4096
+LEAST_WORK_S = 1e-9
+
+QUICK = requests.Priority.QUICK.value
+LONG = requests.Priority.LONG.value
 
 
 @attrs.frozen
@@ -61,41 +63,78 @@
     number: int
     is_removed: bool = False
     credit: float = 0.0
-    served: float = 0.0
+    is_metered: bool = False
+
+    @property
+    def is_floor_due(self) -> bool:
+        """Whether it was taken because the long class is owed its floor."""
+        return self.credit < 0.0
 
 
 @attrs.define
-class _Share:
-    weight: float
-    active_s: float
-    finish: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
-    backlog: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
-    usage: float = 0.0
-    usage_s: float = 0.0
+class Meter:
+    """How much work a second is placed while requests wait for it.
+
+    Parameters
+    ----------
+    window_s : float
+        Waiting time over which what was seen fades.
+    """
+
+    window_s: float
+    served: float = 0.0
+    time_s: float = 0.0
+
+    def note_time(self, elapsed_s: float) -> None:
+        """Count time in which a request waited."""
+        kept = math.exp(-elapsed_s / self.window_s)
+        self.time_s = self.time_s * kept + elapsed_s
+        self.served *= kept
 
-    def note_usage(self, now_s: float, cost: float) -> None:
-        self.usage = _faded(self.usage, now_s - self.usage_s, ACTIVE_S) + cost
-        self.usage_s = max(now_s, self.usage_s)
+    def time_for(self, work: float) -> float:
+        """How long it takes to place the work; a guess when little was seen yet."""
+        if work < LEAST_WORK_S:
+            return 0.0
+        guessed_s = max(PRIOR_TIME_S - self.time_s, 0.0)
+        served = max(self.served, 0.0) + guessed_s * work / PRIOR_WAIT_S
+        if served < LEAST_WORK_S:
+            return math.inf
+        return work * (self.time_s + guessed_s) / served
 
 
 @attrs.define
 class _Class:
+    meter: Meter
     heap: list[tuple[float, int, Entry]] = attrs.field(factory=list)
     n_waiting: int = 0
     virtual: float = 0.0
     backlog: float = 0.0
     weight: float = 0.0
-    served: float = 0.0
 
     def head(self) -> Entry | None:
         while self.heap and self.heap[0][2].is_removed:
             heapq.heappop(self.heap)
         return self.heap[0][2] if self.heap else None
 
-    def push(self, entry: Entry) -> None:
+    def insert(self, entry: Entry, share: shares.Share) -> None:
+        index = entry.item.priority.value
+        if share.backlog[index] <= 0.0:
+            self.weight += share.weight
+        share.backlog[index] += entry.item.cost
+        self.backlog += entry.item.cost
+        self.n_waiting += 1
+        entry.is_removed = False
         heapq.heappush(self.heap, (entry.tag, entry.number, entry))
 
-    def compact(self) -> None:
+    def extract(self, entry: Entry, share: shares.Share) -> None:
+        index = entry.item.priority.value
+        entry.is_removed = True
+        self.n_waiting -= 1
+        self.backlog = self.backlog - entry.item.cost if self.n_waiting else 0.0
+        left = share.backlog[index] - entry.item.cost
+        share.backlog[index] = left if left > LEAST_WORK_S else 0.0
+        if not share.backlog[index]:
+            self.weight = self.weight - share.weight if self.n_waiting else 0.0
         if len(self.heap) > 2 * self.n_waiting + 16:
             self.heap = [place for place in self.heap if not place[2].is_removed]
             heapq.heapify(self.heap)
@@ -105,50 +144,53 @@
     """The requests of one service that wait at this daemon."""
 
     def __init__(self) -> None:
-        self._classes = (_Class(), _Class())
-        self._shares: collections.OrderedDict[str, _Share] = collections.OrderedDict()
-        self._total = _Share(0.0, 0.0)
+        # Quick requests may use all that is placed, long ones what is left to them.
+        self._classes = (
+            _Class(Meter(QUICK_RATE_WINDOW_S)),
+            _Class(Meter(LONG_RATE_WINDOW_S)),
+        )
+        self._shares = shares.Shares()
         self._number = 0
         self._long_credit = 0.0
         self._is_blocked = False
         self._noted_s = 0.0
-        self._blocked_time_s = 0.0
 
     def __len__(self) -> int:
-        return self._classes[0].n_waiting + self._classes[1].n_waiting
+        return self._classes[QUICK].n_waiting + self._classes[LONG].n_waiting
 
     def tag_for(self, item: Waiting) -> float:
         """The place that a request of the organisation would get now."""
-        share = self._shares.get(item.organisation)
-        finish = 0.0 if share is None else share.finish[item.priority.value]
-        return max(self._classes[item.priority.value].virtual, finish)
+        index = item.priority.value
+        share = self._shares.find(item.organisation)
+        finish = 0.0 if share is None else share.finish[index]
+        return max(self._classes[index].virtual, finish)
 
     def add(self, now_s: float, item: Waiting) -> Entry:
         """Queue a request behind what its organisation was given already."""
         self._note_time(now_s)
-        share = self._share(now_s, item)
         tag = self.tag_for(item)
+        share = self._shares.note_asked(now_s, item.organisation, item.weight)
         share.finish[item.priority.value] = tag + item.cost / item.weight
         self._number += 1
         entry = Entry(item, tag, self._number)
-        self._insert(entry, share)
+        self._classes[item.priority.value].insert(entry, share)
         return entry
 
     def entry_in_front(self, item: Waiting) -> Entry:
         """A place before all others, for a request that had one."""
-        return Entry(item, self._classes[item.priority.value].virtual, 0)
+        self._number += 1
+        return Entry(item, self._classes[item.priority.value].virtual, -self._number)
 
     def put_back(self, entry: Entry) -> None:
         """Return an entry to its place, as if it had never been taken."""
-        now_s = self._noted_s
+        item = entry.item
         self._is_blocked = True
-        self._classes[entry.item.priority.value].served -= entry.served
         self._long_credit -= entry.credit
-        share = self._share(now_s, entry.item)
-        share.note_usage(now_s, -entry.item.cost)
-        self._total.note_usage(now_s, -entry.item.cost)
-        entry.served = entry.credit = 0.0
-        self._insert(entry, share)
+        entry.credit = 0.0
+        self._meter(entry, -1.0)
+        self._shares.note_usage(self._noted_s, item.organisation, -item.cost)
+        share = self._shares.note_asked(self._noted_s, item.organisation, item.weight)
+        self._classes[item.priority.value].insert(entry, share)
 
     def take(self, now_s: float) -> Entry | None:
         """Remove and return the entry whose turn it is."""
@@ -158,151 +200,72 @@
         if entry is None:
             self._is_blocked = False
             return None
-        if quick is not None and long is not None:
-            if self._long_credit >= long.item.cost:
-                entry = long
-                entry.credit = -long.item.cost
-            else:
-                entry.credit = quick.item.cost * LONG_FLOOR / (1.0 - LONG_FLOOR)
-        elif long is None:
+        if long is None:
             self._long_credit = 0.0
+        elif quick is not None and self._long_credit >= long.item.cost:
+            entry = long
+            entry.credit = -long.item.cost
+        elif quick is not None:
+            entry.credit = quick.item.cost * LONG_FLOOR / (1.0 - LONG_FLOOR)
         self._long_credit += entry.credit
         self._charge(now_s, entry)
         return entry
 
     def remove(self, entry: Entry) -> None:
         """Remove an entry that waits; its organisation is not charged for it."""
-        share = self._extract(entry)
+        item = entry.item
+        share = self._shares.find(item.organisation)
         if share is not None:
-            item = entry.item
+            self._classes[item.priority.value].extract(entry, share)
             share.finish[item.priority.value] -= item.cost / item.weight
 
-    def last(self) -> Entry | None:
-        """The entry whose turn comes last, of the long class if there is any."""
-        for one in reversed(self._classes):
-            waiting = [place[2] for place in one.heap if not place[2].is_removed]
-            if waiting:
-                return max(waiting, key=lambda entry: (entry.tag, entry.number))
-        return None
-
-    def expected_wait_s(
-        self,
-        now_s: float,
-        organisation: str,
-        weight: float,
-        priority: requests.Priority = requests.Priority.QUICK,
-    ) -> float:
-        """How long a request of the organisation would wait when queued now."""
+    def expected_wait_s(self, now_s: float, item: Waiting) -> float:
+        """How long a request would wait when queued now."""
         self._note_time(now_s)
-        one = self._classes[priority.value]
-        share = self._shares.get(organisation)
-        n_own = 0.0 if share is None else share.backlog[priority.value]
-        # Fair queueing bounds what goes before: all that waits, or what the others
-        # get while the organisation's own backlog is served.
-        weights = max(one.weight + (0.0 if n_own else weight), weight)
-        ahead = one.backlog
-        if organisation:
-            ahead = min(ahead, n_own * weights / weight)
-        if priority is requests.Priority.LONG:
-            ahead += self._classes[0].backlog
-        if ahead <= 0.0:
-            return 0.0
-        prior = PRIOR_TIME_S * ahead / PRIOR_WAIT_S
-        served = self._served_of(priority)
-        rate = (served + prior) / (self._blocked_time_s + PRIOR_TIME_S)
-        return ahead / rate
-
-    def is_over_share(self, now_s: float, organisation: str, weight: float) -> bool:
-        """Whether the organisation lately had more than its share while others ask."""
-        self._drop_idle(now_s)
-        share = self._shares.get(organisation)
-        if share is None or len(self._shares) < 2:
-            return False
-        usage = _faded(share.usage, now_s - share.usage_s, ACTIVE_S)
-        total = _faded(self._total.usage, now_s - self._total.usage_s, ACTIVE_S)
-        fair = weight / max(self._total.weight, weight)
-        return usage > OVER_SHARE_RATIO * fair * total
-
-    def _served_of(self, priority: requests.Priority) -> float:
-        quick, long = (one.served for one in self._classes)
-        total = quick + long
-        if priority is requests.Priority.LONG:
-            return max(total - quick, LONG_FLOOR * total)
-        return total * (1.0 - LONG_FLOOR) if self._classes[1].n_waiting else total
-
-    def _insert(self, entry: Entry, share: _Share) -> None:
-        index = entry.item.priority.value
+        index = item.priority.value
         one = self._classes[index]
-        if share.backlog[index] <= 0.0:
-            one.weight += share.weight
-        share.backlog[index] += entry.item.cost
-        one.backlog += entry.item.cost
-        one.n_waiting += 1
-        entry.is_removed = False
-        one.push(entry)
+        share = self._shares.find(item.organisation)
+        n_own = 0.0 if share is None else share.backlog[index]
+        # Fair queueing bounds what goes before: all that waits, or what the others
+        # get while the organisation's own backlog and this request are served.
+        weights = one.weight + (0.0 if n_own else item.weight)
+        own_round = (n_own + item.cost) * weights / item.weight - item.cost
+        return one.meter.time_for(min(one.backlog, max(own_round, 0.0)))
 
-    def _extract(self, entry: Entry) -> _Share | None:
-        index = entry.item.priority.value
-        one = self._classes[index]
-        entry.is_removed = True
-        one.n_waiting -= 1
-        one.backlog = one.backlog - entry.item.cost if one.n_waiting else 0.0
-        one.compact()
-        share = self._shares.get(entry.item.organisation)
-        if share is None:
-            return None
-        left = share.backlog[index] - entry.item.cost
-        share.backlog[index] = left if left > 1e-9 else 0.0
-        if not share.backlog[index]:
-            one.weight = one.weight - share.weight if one.n_waiting else 0.0
-        return share
+    def backlog_wait_s(self, now_s: float) -> float:
+        """How long it takes until all quick requests that wait are placed."""
+        self._note_time(now_s)
+        quick = self._classes[QUICK]
+        return quick.meter.time_for(quick.backlog)
+
+    def is_over_share(self, now_s: float, organisation: str) -> bool:
+        """Whether the organisation lately had far more than its share."""
+        return self._shares.is_over(now_s, organisation)
 
     def _charge(self, now_s: float, entry: Entry) -> None:
         item = entry.item
         one = self._classes[item.priority.value]
         heapq.heappop(one.heap)
-        share = self._extract(entry)
         one.virtual = max(one.virtual, entry.tag)
-        if self._is_blocked:
-            entry.served = item.cost
-            one.served += item.cost
+        share = self._shares.find(item.organisation)
         if share is not None:
-            share.note_usage(now_s, item.cost)
-        self._total.note_usage(now_s, item.cost)
-
-    def _share(self, now_s: float, item: Waiting) -> _Share:
-        share = self._shares.get(item.organisation)
-        if share is None:
-            self._drop_idle(now_s)
-            share = self._shares[item.organisation] = _Share(item.weight, now_s)
-            self._total.weight += item.weight
-        share.active_s = now_s
-        self._shares.move_to_end(item.organisation)
-        return share
-
-    def _drop_idle(self, now_s: float) -> None:
-        while self._shares:
-            name, share = next(iter(self._shares.items()))
-            if any(share.backlog):
-                self._shares.move_to_end(name)
-                share.active_s = now_s
-            is_idle = now_s - share.active_s > ACTIVE_S
-            if not is_idle and len(self._shares) < MAX_ORGANISATIONS:
-                return
-            del self._shares[name]
-            self._total.weight -= share.weight
+            one.extract(entry, share)
+        self._shares.note_usage(now_s, item.organisation, item.cost)
+        entry.is_metered = self._is_blocked
+        self._meter(entry, 1.0)
+
+    def _meter(self, entry: Entry, sign: float) -> None:
+        if entry.is_metered:
+            item = entry.item
+            self._classes[QUICK].meter.served += sign * item.cost
+            if item.priority is requests.Priority.LONG:
+                self._classes[LONG].meter.served += sign * item.cost
 
     def _note_time(self, now_s: float) -> None:
         elapsed_s = now_s - self._noted_s
         self._noted_s = max(now_s, self._noted_s)
-        if not self._is_blocked or elapsed_s <= 0.0:
-            return
         # Only time with requests left waiting tells what the servers can take.
-        kept = math.exp(-elapsed_s / RATE_WINDOW_S)
-        self._blocked_time_s = self._blocked_time_s * kept + elapsed_s
-        for one in self._classes:
-            one.served *= kept
-
-
-def _faded(value: float, elapsed_s: float, window_s: float) -> float:
-    return value * math.exp(-max(elapsed_s, 0.0) / window_s)
+        if self._is_blocked and elapsed_s > 0.0:
+            self._classes[QUICK].meter.note_time(elapsed_s)
+            if self._classes[LONG].n_waiting:
+                self._classes[LONG].meter.note_time(elapsed_s)
