--- a/packages/decisions/bilberryridge/decisions/loads.py
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -177,7 +177,11 @@
         if state.reported_s is None:
             return max(n_unknown, state.n_open)
         trust = math.exp((state.reported_s - now_s) / REPORT_TRUST_S)
-        n_reported = state.n_running + state.n_waiting + state.n_net
+        n_net = state.n_net
+        if n_net > 0:
+            # The other daemons had the same report and sent there just as much.
+            n_net *= self.n_daemons
+        n_reported = state.n_running + state.n_waiting + n_net
         n_expected = trust * n_reported + (1.0 - trust) * n_unknown
         return max(n_expected, state.n_open)
 
