Edge: the envelope carries the owner of a relayed key

The field came into requests.Envelope after the codec was written, and the codec left it out, so the owner would have seen a relay that names nobody. Ruled out: a fault of the relay's proof, which covers the encoded envelope whole. Before: a request through two daemons lost `owner` (seen with the changed test); after: it arrives as sent.

--- a/packages/transport/bilberryridge/transport/envelope.py
+++ b/packages/transport/bilberryridge/transport/envelope.py
@@ -11,6 +11,7 @@
 from bilberryridge.core import requests
 from bilberryridge.transport import errors
 
+N_FIELDS = 6
 MAX_PATH = 8
 MAX_NAME_CHARACTERS = 256
 MAX_REMAINING_S = 86_400.0
@@ -25,6 +26,7 @@
         envelope.remaining_s,
         envelope.revision,
         envelope.is_relay,
+        envelope.owner,
     ]
     return base64.urlsafe_b64encode(cbor2.dumps(fields)).decode()
 
@@ -58,7 +60,7 @@
 
     Examples
     --------
-    >>> sent = requests.Envelope(("a",), "org", 2.5, 7)
+    >>> sent = requests.Envelope(("a",), "org", 2.5, 7, True, "b/1")
     >>> decode(encode(sent)) == sent
     True
     """
@@ -68,19 +70,19 @@
         fields = cbor2.loads(base64.urlsafe_b64decode(encoded))
     except (binascii.Error, ValueError, cbor2.CBORError) as exc:
         raise errors.EnvelopeError("the envelope can't be read") from exc
-    if not isinstance(fields, list) or len(fields) != 5:
+    if not isinstance(fields, list) or len(fields) != N_FIELDS:
         raise errors.EnvelopeError("the envelope has the wrong fields")
-    path, organisation, remaining_s, revision, is_relay = fields
+    path, organisation, remaining_s, revision, is_relay, owner = fields
     if not isinstance(path, list) or not 1 <= len(path) <= MAX_PATH:
         raise errors.EnvelopeError("the envelope's path is out of bounds")
     if not all(_is_name(name) for name in path) or not _is_name(organisation):
         raise errors.EnvelopeError("a name in the envelope is no name")
     if not _is_time(remaining_s) or type(revision) is not int or revision < 0:
         raise errors.EnvelopeError("a number in the envelope is out of bounds")
-    if type(is_relay) is not bool:
+    if type(is_relay) is not bool or not _is_name(owner):
         raise errors.EnvelopeError("the envelope doesn't say what it is for")
     return requests.Envelope(
-        tuple(path), organisation, float(remaining_s), revision, is_relay
+        tuple(path), organisation, float(remaining_s), revision, is_relay, owner
     )
 
 
--- a/packages/transport/bilberryridge/transport/tests/test_edge.py
+++ b/packages/transport/bilberryridge/transport/tests/test_edge.py
@@ -90,7 +90,7 @@
     assert node.seen == []
 
 
-ENVELOPE = requests.Envelope(("a",), "growers", 5.0, 7)
+ENVELOPE = requests.Envelope(("a",), "growers", 5.0, 7, True, "b/1")
 
 
 def relay_fields(target: str, body: bytes, key: bytes, request_id: str = "r1"):
