Loads: requests that fill a server now count by their own length

Cause: the hold of a slot was the mean of what had ended, the short ones; make demo showed a wait of 0.7 s expected behind answers of 10 s. Before: expected wait 0.719 s, after: 3.176 s, for the same load.

--- a/packages/decisions/bilberryridge/decisions/costs.py
+++ b/packages/decisions/bilberryridge/decisions/costs.py
@@ -257,8 +257,13 @@
         return Scored(cost, room, Remote(item.domain, self._service, cost, why))
 
     def _expected_hold_s(self, vm: documents.Vm) -> float:
-        if self._hold_s is not None:
-            return self._hold_s
+        s_per_token = vm.n_slots / vm.tokens_per_s if vm.tokens_per_s else 0.0
+        open_s = self._loads.open_hold_s(vm.name, s_per_token)
+        if open_s is not None and self._hold_s is not None:
+            return max(open_s, self._hold_s)
+        for known_s in (open_s, self._hold_s):
+            if known_s is not None:
+                return known_s
         if vm.tokens_per_s:
-            return self._n_output_tokens * vm.n_slots / vm.tokens_per_s
+            return self._n_output_tokens * s_per_token
         return DEFAULT_HOLD_S
--- a/packages/decisions/bilberryridge/decisions/loads.py
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -51,6 +51,7 @@
     server: str
     sent_s: float
     priority: requests.Priority
+    n_output_tokens: int = 0
     has_begun: bool = False
 
 
@@ -121,8 +122,9 @@
         self.on_ended(now_s, request_id, None)
         if len(self._open) >= MAX_OPEN:
             self.on_ended(now_s, next(iter(self._open)), None)
-        self._open[request_id] = _Open(server, now_s, priority)
+        self._open[request_id] = _Open(server, now_s, priority, n_output_tokens)
         state = self.server(server)
+        state.n_open_tokens += n_output_tokens
         state.note_change(now_s, 1)
         state.pending[request_id] = now_s
 
@@ -150,9 +152,10 @@
         if item is None or state is None:
             return
         state.note_change(now_s, -1)
+        state.n_open_tokens -= item.n_output_tokens
         state.pending.pop(request_id, None)
         if is_good:
-            self._note_hold(state.pool, now_s - item.sent_s)
+            self._note_hold(state.pool, now_s - item.sent_s, item.n_output_tokens)
         if is_good is not None and state.health.note_end(now_s, is_good):
             self._eject(now_s, state)
 
@@ -206,6 +209,24 @@
         known = self._pools.get(pool)
         return None if known is None else known.hold_s
 
+    def open_hold_s(self, server: str, s_per_token: float) -> float | None:
+        """How long this daemon's open requests there hold their slots, on average.
+
+        Those that ended so far were the short ones; their mean says little of the long
+        ones that fill a server now.
+
+        Parameters
+        ----------
+        s_per_token : float
+            Taken for a pool of which no request has ended yet.
+        """
+        state = self._servers.get(server)
+        if state is None or not state.n_open or not state.n_open_tokens:
+            return None
+        known = self._pools[state.pool].hold_s_per_token
+        per_token_s = s_per_token if known is None else known
+        return per_token_s * state.n_open_tokens / state.n_open
+
     def n_net_since(self, server: str, since_s: float) -> int:
         """Requests of this daemon sent there since, less those that ended since."""
         state = self._servers.get(server)
@@ -236,8 +257,15 @@
 
         self.forget(min(self._servers, key=order))
 
-    def _note_hold(self, pool_name: str, hold_s: float) -> None:
+    def _note_hold(self, pool_name: str, hold_s: float, n_tokens: int) -> None:
         pool = self._pool(pool_name)
+        if n_tokens:
+            per_token_s = hold_s / n_tokens
+            before = pool.hold_s_per_token
+            if before is None:
+                before = per_token_s
+            change = HOLD_WEIGHT * (per_token_s - before)
+            pool.hold_s_per_token = before + change
         if pool.hold_s is None:
             pool.hold_s = hold_s
         pool.hold_s += HOLD_WEIGHT * (hold_s - pool.hold_s)
--- a/packages/decisions/bilberryridge/decisions/server_state.py
+++ b/packages/decisions/bilberryridge/decisions/server_state.py
@@ -34,6 +34,7 @@
     )
     n_net: int = 0
     n_open: int = 0
+    n_open_tokens: int = 0
     pending: dict[str, float] = attrs.field(factory=dict)
     health: healths.Health = attrs.field(factory=healths.Health)
 
@@ -63,6 +64,7 @@
     n_own_a_slot: float = 0.0
     usual_wait_s: float | None = None
     hold_s: float | None = None
+    hold_s_per_token: float | None = None
 
     def refresh(self, now_s: float, n_daemons: int) -> None:
         """Look at all servers again, unless that was done just now."""
