Control messages: only what changed, heartbeats fill the gaps

Loads in the tool now move by at most 3 a second in place of being drawn anew. Also: rooms are told again to a peer that has just connected (make demo did not know the other domain's room for 5 s).

--- a/packages/core/bilberryridge/core/messages.py
+++ b/packages/core/bilberryridge/core/messages.py
@@ -37,7 +37,7 @@
 
 @attrs.frozen
 class ServerLoad:
-    """What is known of one backend server.
+    """What a backend server reported.
 
     Parameters
     ----------
@@ -45,17 +45,11 @@
         VM name.
     n_running, n_waiting : int
         Requests in work and in its queue.
-    age_s : float
-        Since the server reported it.
-    is_failing : bool
-        Whether the sender's traffic or probes find it failing.
     """
 
     server: str
     n_running: int
     n_waiting: int
-    age_s: float
-    is_failing: bool = False
 
 
 @attrs.frozen
@@ -101,16 +95,50 @@
 
 @attrs.frozen
 class LoadDelta:
-    """Loads of the servers that the sender watches for its domain."""
+    """Loads that changed, of the servers that the sender reads for its domain.
+
+    Parameters
+    ----------
+    age_ms : int
+        Since the oldest of them was read.
+    loads : tuple of ServerLoad
+    """
 
+    age_ms: int
     loads: tuple[ServerLoad, ...]
 
 
+@attrs.frozen
+class Room:
+    """A failure domain's room for one service; see `ServiceSummary`."""
+
+    service: str
+    n_slots: int
+    n_busy: int
+    n_waiting: int
+
+
+@attrs.frozen
+class DomainSummary:
+    """Rooms of one failure domain that changed.
+
+    Parameters
+    ----------
+    domain : str
+    age_ms : int
+    rooms : tuple of Room
+    """
+
+    domain: str
+    age_ms: int
+    rooms: tuple[Room, ...]
+
+
 @attrs.frozen
 class Summaries:
-    """What the sender knows of rooms of other domains and of its own."""
+    """Rooms of the sender's domain, or of others that it heard of from outside."""
 
-    summaries: tuple[ServiceSummary, ...]
+    domains: tuple[DomainSummary, ...]
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/configuration_flow.py
+++ b/packages/decisions/bilberryridge/decisions/configuration_flow.py
@@ -10,7 +10,7 @@
 
 N_WATCHERS = 2
 FETCH_PATIENCE_S = 1.0
-"""A daemon that was asked is asked again only after this long."""
+"""Without an answer the next daemon is asked after this long."""
 
 
 def on_read(st: state.State, now_s: float, event: events.ConfigurationRead) -> None:
@@ -62,8 +62,10 @@
     st.candidates.clear()
     st.count("configuration_changes", n=len(changed))
     st.step_daemon("configured")
-    # The revision in the next message tells the peers that there is something to fetch.
-    st.last_heartbeat_s = float("-inf")
+    # The revision in the next message tells the peers that there is something to fetch;
+    # those of other domains have watchers of their own and hear of it soon enough.
+    for vm in st.own_peers():
+        st.heartbeat_told_s.pop(vm, None)
 
 
 def on_reachable(st: state.State, now_s: float, event: events.StoreReachable) -> None:
@@ -82,10 +84,9 @@
     """Fetch what the sender has and this node lacks."""
     if frame.revision <= st.replica.complete_revision:
         return
-    asked_s = st.wanted_at_s.get(frame.sender, float("-inf"))
-    if now_s - asked_s < FETCH_PATIENCE_S:
+    if now_s - st.wanted_at_s < FETCH_PATIENCE_S:
         return
-    st.wanted_at_s[frame.sender] = now_s
+    st.wanted_at_s = now_s
     wanted = messages.ConfigurationWanted(st.replica.complete_revision)
     st.send_peer(frame.sender, wanted)
 
@@ -102,7 +103,7 @@
     st: state.State, now_s: float, sender: str, body: messages.ConfigurationChanges
 ) -> None:
     """Take in what a peer knows; a peer's news is as good as the store's."""
-    st.wanted_at_s.pop(sender, None)
+    st.wanted_at_s = float("-inf")
     try:
         changed = st.replica.merge(
             body.after_revision, body.complete_revision, body.versions
--- a/packages/decisions/bilberryridge/decisions/load_flow.py
+++ b/packages/decisions/bilberryridge/decisions/load_flow.py
@@ -1,7 +1,5 @@
 """Load reports: read in shares, passed on within the domain, summed up for others."""
 
-import attrs
-
 from bilberryridge.core import documents, messages
 from bilberryridge.decisions import (
     effects,
@@ -13,13 +11,15 @@
 )
 
 LOADS_TOLD_INTERVAL_S = 1.0
+LOAD_REPEAT_S = 5.0
 SUMMARY_REPEAT_S = 5.0
+MS_PER_S = 1000
 DEFAULT_ONE_WAY_S = 0.03
 ROOM_STALE_S = 15.0
 """After this long without a word a domain is taken to be cut off."""
 
-CHANGE_SHARE = 0.1
-"""Of a domain's slots; a smaller change is not told before the next repeat."""
+CHANGE_SHARE = 0.125
+"""Of the slots; a smaller change is not told before the next repeat."""
 
 
 def on_load(st: state.State, now_s: float, event: events.LoadRead) -> None:
@@ -36,10 +36,9 @@
     st: state.State, now_s: float, sender: str, body: messages.LoadDelta
 ) -> None:
     """Take reports that a daemon of the own domain read."""
+    age_s = body.age_ms / MS_PER_S
     for load in body.loads:
-        st.loads.on_report(
-            now_s, load.server, load.n_running, load.n_waiting, load.age_s
-        )
+        st.loads.on_report(now_s, load.server, load.n_running, load.n_waiting, age_s)
         _dispatch_service_of(st, now_s, load.server)
 
 
@@ -53,31 +52,38 @@
     st: state.State, now_s: float, sender: str, body: messages.Summaries
 ) -> None:
     """Take rooms of other domains; the newest word on each counts."""
-    news = [s for s in body.summaries if _is_news(st, now_s, s)]
+    news = [s for s in body.domains if s.domain in st.deployment.domains]
+    news = [s for s in news if s.domain != st.cfg.domain]
     for summary in news:
-        by_domain = st.remote_rooms.setdefault(summary.service, {})
-        by_domain[summary.domain] = _remote(st, now_s, summary)
-    is_from_outside = sender not in {vm.name for vm in st.domain_daemons(st.cfg.domain)}
+        _take_summary(st, now_s, summary)
+    is_from_outside = sender not in st.own_daemon_names()
     if news and is_from_outside:
         for peer in st.own_peers():
             st.send_peer(peer, messages.Summaries(tuple(news)))
 
 
-def _is_news(st: state.State, now_s: float, summary: messages.ServiceSummary) -> bool:
-    if summary.domain == st.cfg.domain or summary.domain not in st.deployment.domains:
-        return False
-    known = st.remote_rooms.get(summary.service, {}).get(summary.domain)
-    return known is None or _age_s(now_s, known) > summary.age_s
-
-
-def _remote(
-    st: state.State, now_s: float, summary: messages.ServiceSummary
-) -> placement.RemoteDomain:
+def _take_summary(
+    st: state.State, now_s: float, summary: messages.DomainSummary
+) -> None:
+    age_s = summary.age_ms / MS_PER_S
     region = st.deployment.region_of(summary.domain)
     one_way_s = _one_way_s(st, region)
-    return placement.RemoteDomain(
-        summary.domain, region, one_way_s, summary, read_s=now_s
-    )
+    for room in summary.rooms:
+        by_domain = st.remote_rooms.setdefault(room.service, {})
+        known = by_domain.get(summary.domain)
+        if known is not None and _age_s(now_s, known) < age_s:
+            continue
+        counted = messages.ServiceSummary(
+            summary.domain,
+            room.service,
+            room.n_slots,
+            room.n_busy,
+            room.n_waiting,
+            age_s,
+        )
+        by_domain[summary.domain] = placement.RemoteDomain(
+            summary.domain, region, one_way_s, counted, read_s=now_s
+        )
 
 
 def _one_way_s(st: state.State, region: str) -> float:
@@ -94,11 +100,11 @@
 
 def on_tick(st: state.State, now_s: float) -> None:
     """Share out the reports to read, and tell what was read."""
-    st.loads.n_daemons = len(st.live_own_daemons(now_s))
-    _share_reports(st, now_s)
     if now_s - st.last_loads_told_s < LOADS_TOLD_INTERVAL_S:
         return
     st.last_loads_told_s = now_s
+    st.loads.n_daemons = len(st.live_own_daemons(now_s))
+    _share_reports(st, now_s)
     _tell_loads(st, now_s)
     _tell_summaries(st, now_s)
     for by_domain in st.remote_rooms.values():
@@ -130,55 +136,75 @@
 
 
 def _tell_loads(st: state.State, now_s: float) -> None:
-    reports = []
-    for server, read_s in st.fresh_reports.items():
-        known = st.loads.server(server)
-        load = messages.ServerLoad(
-            server, known.n_running, known.n_waiting, now_s - read_s
-        )
-        reports.append(load)
+    peers = st.own_peers()
+    due = [server for server in st.fresh_reports if _is_load_due(st, now_s, server)]
+    if due and peers:
+        oldest_s = min(st.fresh_reports[server] for server in due)
+        loads = tuple(_load_of(st, server) for server in due)
+        body = messages.LoadDelta(round((now_s - oldest_s) * MS_PER_S), loads)
+        for peer in peers:
+            st.send_peer(peer, body)
+        for load in loads:
+            st.told_loads[load.server] = (load.n_running, load.n_waiting, now_s)
     st.fresh_reports.clear()
-    if reports:
-        for peer in st.own_peers():
-            st.send_peer(peer, messages.LoadDelta(tuple(reports)))
+
+
+def _load_of(st: state.State, server: str) -> messages.ServerLoad:
+    known = st.loads.server(server)
+    return messages.ServerLoad(server, known.n_running, known.n_waiting)
+
+
+def _is_load_due(st: state.State, now_s: float, server: str) -> bool:
+    """Whether peers would decide otherwise, or need a sign that it still reports."""
+    told = st.told_loads.get(server)
+    if told is None or now_s - told[2] >= LOAD_REPEAT_S:
+        return True
+    known = st.loads.server(server)
+    change = abs(known.n_running + known.n_waiting - told[0] - told[1])
+    return change >= max(1, round(CHANGE_SHARE * known.n_slots))
 
 
 def _tell_summaries(st: state.State, now_s: float) -> None:
-    due = [s for s in _own_summaries(st, now_s) if _is_due(st, now_s, s)]
+    own = st.own_daemon_names()
+    outside = [peer.vm for peer in st.members.connected() if peer.vm not in own]
+    if not outside:
+        return
+    due = [room for room in _own_rooms(st, now_s) if _is_room_due(st, now_s, room)]
     if not due:
         return
-    own = {vm.name for vm in st.domain_daemons(st.cfg.domain)}
-    for peer in st.members.connected():
-        if peer.vm not in own:
-            st.send_peer(peer.vm, messages.Summaries(tuple(due)))
+    summary = messages.DomainSummary(st.cfg.domain, 0, tuple(due))
+    for vm in outside:
+        st.send_peer(vm, messages.Summaries((summary,)))
 
 
-def _own_summaries(st: state.State, now_s: float) -> list[messages.ServiceSummary]:
-    totals: dict[str, messages.ServiceSummary] = {}
+def _own_rooms(st: state.State, now_s: float) -> list[messages.Room]:
+    totals: dict[str, messages.Room] = {}
     for vm in own_servers(st):
-        is_used = st.members.takes_new_work(now_s, vm) and not st.loads.is_ejected(
-            now_s, vm.name
-        )
+        before = totals.get(vm.service) or messages.Room(vm.service, 0, 0, 0)
+        totals[vm.service] = before
+        if not st.members.takes_new_work(now_s, vm):
+            continue
+        if st.loads.is_ejected(now_s, vm.name):
+            continue
         estimate = st.loads.estimate(now_s, vm.name)
-        before = totals.get(vm.service) or messages.ServiceSummary(
-            st.cfg.domain, vm.service, 0, 0, 0, 0.0
-        )
-        totals[vm.service] = attrs.evolve(
-            before,
-            n_slots=before.n_slots + (vm.n_slots if is_used else 0),
-            n_busy=before.n_busy + (round(estimate.n_busy) if is_used else 0),
-            n_waiting=before.n_waiting + (round(estimate.n_waiting) if is_used else 0),
+        totals[vm.service] = messages.Room(
+            vm.service,
+            before.n_slots + vm.n_slots,
+            before.n_busy + round(estimate.n_busy),
+            before.n_waiting + round(estimate.n_waiting),
         )
     return list(totals.values())
 
 
-def _is_due(st: state.State, now_s: float, summary: messages.ServiceSummary) -> bool:
-    key = summary.domain, summary.service
-    told = st.told_summaries.get(key)
-    now = (summary.n_slots, summary.n_busy, summary.n_waiting, now_s)
-    if told is not None and now_s - told[3] < SUMMARY_REPEAT_S:
-        most = max(abs(a - b) for a, b in zip(now[:3], told[:3], strict=True))
-        if most <= CHANGE_SHARE * max(summary.n_slots, 1):
+def _is_room_due(st: state.State, now_s: float, room: messages.Room) -> bool:
+    told = st.told_rooms.get(room.service)
+    if told is not None and now_s - told[1] < SUMMARY_REPEAT_S:
+        before = told[0]
+        n_changed = max(
+            abs(room.n_slots - before.n_slots),
+            abs(room.n_busy + room.n_waiting - before.n_busy - before.n_waiting),
+        )
+        if n_changed <= CHANGE_SHARE * max(room.n_slots, before.n_slots):
             return False
-    st.told_summaries[key] = now
+    st.told_rooms[room.service] = (room, now_s)
     return True
--- a/packages/decisions/bilberryridge/decisions/membership.py
+++ b/packages/decisions/bilberryridge/decisions/membership.py
@@ -14,6 +14,8 @@
 
 HEARTBEAT_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 3.0
+OUTSIDE_PACE = 3
+"""How many times slower daemons of different domains beat."""
 UNREACHABLE_HOLDS_S = 5.0
 LIST_FRESH_S = 5.0
 TOLD_HOLDS_S = 8.0
@@ -125,11 +127,19 @@
                 changes.append((vm, before, after))
         return changes
 
-    def expire(self, now_s: float) -> list[str]:
-        """Note silence; return the daemons that just fell silent."""
+    def expire(self, now_s: float, own_daemons: set[str]) -> list[str]:
+        """Note silence; return the daemons that just fell silent.
+
+        Parameters
+        ----------
+        own_daemons : set of str
+            Names of those in the own failure domain.
+        """
         silent = []
         for peer in self._peers.values():
-            if peer.state == "connected" and not self._is_heard(now_s, peer):
+            pace = 1 if peer.vm in own_daemons else OUTSIDE_PACE
+            is_late = now_s - peer.heard_s > pace * HEARTBEAT_TIMEOUT_S
+            if peer.state == "connected" and is_late:
                 peer.state = self._peer_chart.step(peer.state, "time_out")
                 silent.append(peer.vm)
         return silent
@@ -206,9 +216,6 @@
         peer.state = self._peer_chart.step(peer.state, event)
         return peer
 
-    def _is_heard(self, now_s: float, peer: Peer) -> bool:
-        return now_s - peer.heard_s <= HEARTBEAT_TIMEOUT_S
-
     def _is_list_fresh(self, now_s: float) -> bool:
         return (
             self._list_read_s is not None and now_s - self._list_read_s <= LIST_FRESH_S
--- a/packages/decisions/bilberryridge/decisions/membership_flow.py
+++ b/packages/decisions/bilberryridge/decisions/membership_flow.py
@@ -14,6 +14,8 @@
 
 LIST_TOLD_INTERVAL_S = 2.0
 CONNECT_INTERVAL_S = 1.0
+HEARTBEAT_REPEATS = 3
+"""A heartbeat's own news are repeated after this many intervals."""
 
 _HANDLERS = {
     messages.ConfigurationWanted: configuration_flow.on_wanted,
@@ -31,12 +33,15 @@
     st.members.on_up(now_s, event.vm, event.incarnation)
     st.changed("peer", event.vm, "absent", "connected")
     st.send_peer(event.vm, _heartbeat(st))
+    # It has heard nothing yet of what was told before.
+    st.told_rooms.clear()
+    st.told_loads.clear()
 
 
 def on_peer_down(st: state.State, now_s: float, event: events.PeerDown) -> None:
     """Note that a daemon has no connection left."""
     st.members.on_down(event.vm)
-    st.wanted_at_s.pop(event.vm, None)
+    st.wanted_at_s = float("-inf")
     st.changed("peer", event.vm, "connected", "absent")
 
 
@@ -61,20 +66,38 @@
 def on_tick(st: state.State, now_s: float) -> None:
     """Send what is due and choose whom to stay connected to."""
     st.members.begin(now_s)
-    for vm in st.members.expire(now_s):
+    for vm in st.members.expire(now_s, st.own_daemon_names()):
         st.changed("peer", vm, "connected", "silent")
     if now_s - st.last_connect_s >= CONNECT_INTERVAL_S:
         st.last_connect_s = now_s
         _connect(st, now_s)
-    if now_s - st.last_heartbeat_s >= membership.HEARTBEAT_INTERVAL_S:
-        st.last_heartbeat_s = now_s
-        for peer in st.members.connected():
-            st.send_peer(peer.vm, _heartbeat(st))
+    _beat(st, now_s)
     if now_s - st.last_list_told_s >= LIST_TOLD_INTERVAL_S:
         st.last_list_told_s = now_s
         _tell_leaving(st, now_s)
 
 
+def _beat(st: state.State, now_s: float) -> None:
+    beat = _heartbeat(st)
+    is_news = st.heartbeat_told is None or _flags(beat) != _flags(st.heartbeat_told)
+    st.heartbeat_told = beat
+    own = st.own_daemon_names()
+    for peer in st.members.connected():
+        pace = 1.0 if peer.vm in own else membership.OUTSIDE_PACE
+        interval_s = pace * membership.HEARTBEAT_INTERVAL_S
+        told_s = st.heartbeat_told_s.get(peer.vm, float("-inf"))
+        # Any message shows that the sender lives; heartbeats fill the gaps.
+        is_quiet = now_s - st.sent_peer_s.get(peer.vm, float("-inf")) >= interval_s
+        is_old = now_s - told_s >= HEARTBEAT_REPEATS * interval_s
+        if is_news or is_quiet or is_old:
+            st.heartbeat_told_s[peer.vm] = now_s
+            st.send_peer(peer.vm, beat)
+
+
+def _flags(beat: messages.Heartbeat) -> tuple[bool, bool]:
+    return beat.is_leaving, beat.has_store
+
+
 def _heartbeat(st: state.State) -> messages.Heartbeat:
     has_store = st.is_watching and st.is_store_reachable
     is_leaving = st.daemon_state in ("leaving", "finishing", "stopped")
@@ -82,12 +105,16 @@
 
 
 def _tell_leaving(st: state.State, now_s: float) -> None:
-    own_daemons = {vm.name for vm in st.domain_daemons(st.cfg.domain)}
+    own_daemons = st.own_daemon_names()
     own = _own_leaving(st, now_s, own_daemons)
     from_outside: set[str] = set()
     for peer in st.members.connected():
         if peer.vm not in own_daemons:
             from_outside |= st.members.told_leaving_by(now_s, peer.vm)
+    is_quiet = not (own or from_outside or st.told_leaving)
+    st.told_leaving = own | from_outside
+    if is_quiet:
+        return
     for peer in st.members.connected():
         # Word from outside goes on within the domain only, so it can't come back.
         told = own | from_outside if peer.vm in own_daemons else own
--- a/packages/decisions/bilberryridge/decisions/node.py
+++ b/packages/decisions/bilberryridge/decisions/node.py
@@ -79,6 +79,7 @@
             Monotonic; never less than in the call before.
         event : Event
         """
+        self.state.now_s = now_s
         _HANDLERS[type(event)](self.state, now_s, event)
         out = self.state.out
         self.state.out = []
--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from bilberryridge.core import documents, outcomes, requests
+from bilberryridge.core import documents, messages, outcomes, requests
 from bilberryridge.decisions import (
     admission,
     charts,
@@ -144,13 +144,17 @@
         self.is_store_suspect = False
         self.is_store_reachable = False
         self.store_read_s: float | None = None
-        self.wanted_at_s: dict[str, float] = {}
+        self.wanted_at_s = float("-inf")
         self.is_watching = False
         # Members
         self.members = membership.Membership(cfg.vm)
         self.wanted_peers: tuple[tuple[str, str], ...] = ()
         self.last_connect_s = float("-inf")
-        self.last_heartbeat_s = float("-inf")
+        self.heartbeat_told_s: dict[str, float] = {}
+        self.heartbeat_told: messages.Heartbeat | None = None
+        self.sent_peer_s: dict[str, float] = {}
+        self.now_s = float("-inf")
+        self.told_leaving: set[str] = set()
         self.last_list_told_s = float("-inf")
         # Load
         self.loads = loads.LoadBook(MAX_LOADED_SERVERS, random_state)
@@ -161,7 +165,8 @@
         self.read_servers: tuple[tuple[str, str], ...] = ()
         self.last_loads_told_s = float("-inf")
         self.fresh_reports: dict[str, float] = {}
-        self.told_summaries: dict[tuple[str, str], tuple[int, int, int, float]] = {}
+        self.told_loads: dict[str, tuple[int, int, float]] = {}
+        self.told_rooms: dict[str, tuple[messages.Room, float]] = {}
         # Requests
         self.open: dict[str, Open] = {}
         self.admission = admission.Admission(random_state)
@@ -194,6 +199,7 @@
 
     def send_peer(self, vm: str, body: object) -> None:
         """Send a control message with this node's revision."""
+        self.sent_peer_s[vm] = self.now_s
         self.emit(effects.SendPeer(vm, self.replica.complete_revision, body))  # type: ignore[arg-type]
 
     def step(self, open_req: Open, event: str) -> None:
@@ -218,6 +224,10 @@
         live = [name for name in names if self.members.is_heard_daemon(now_s, name)]
         return live if self.cfg.vm in live else [*live, self.cfg.vm]
 
+    def own_daemon_names(self) -> set[str]:
+        """Return the names of the entry VMs of the own failure domain."""
+        return {vm.name for vm in self.domain_daemons(self.cfg.domain)}
+
     def own_peers(self) -> list[str]:
         """Return the connected daemons of the own failure domain."""
         own = self.domain_daemons(self.cfg.domain)
--- a/packages/peers/bilberryridge/peers/codec.py
+++ b/packages/peers/bilberryridge/peers/codec.py
@@ -23,7 +23,8 @@
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 8
 MAX_LOADS = 4096
-MAX_SUMMARIES = 16384
+MAX_DOMAINS = 1024
+MAX_ROOMS = 256
 MAX_VERSIONS = 65536
 MAX_SERVERS = 16384
 MAX_HEADERS = 128
@@ -82,25 +83,23 @@
     fields.text,
     fields.integer,
     fields.integer,
-    fields.seconds,
-    fields.flag,
 )
-_SERVICE_SUMMARY = fields.record(
-    messages.ServiceSummary,
-    fields.text,
+_ROOM = fields.record(
+    messages.Room, fields.text, fields.integer, fields.integer, fields.integer
+)
+_DOMAIN_SUMMARY = fields.record(
+    messages.DomainSummary,
     fields.text,
     fields.integer,
-    fields.integer,
-    fields.integer,
-    fields.seconds,
+    fields.array(_ROOM, MAX_ROOMS),
 )
 _VERSION = fields.record(
     documents.Version, fields.text, fields.integer, fields.data(MAX_MESSAGE_BYTES)
 )
 _FIELDS: dict[type, tuple[fields.Check, ...]] = {
     messages.Heartbeat: (fields.flag, fields.integer, fields.flag),
-    messages.LoadDelta: (fields.array(_SERVER_LOAD, MAX_LOADS),),
-    messages.Summaries: (fields.array(_SERVICE_SUMMARY, MAX_SUMMARIES),),
+    messages.LoadDelta: (fields.integer, fields.array(_SERVER_LOAD, MAX_LOADS)),
+    messages.Summaries: (fields.array(_DOMAIN_SUMMARY, MAX_DOMAINS),),
     messages.ConfigurationWanted: (fields.integer,),
     messages.ConfigurationChanges: (
         fields.integer,
--- a/packages/peers/bilberryridge/peers/tests/test_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_codec.py
@@ -6,15 +6,15 @@
 from bilberryridge.core import documents, messages
 from bilberryridge.peers import codec
 
-LOAD = messages.ServerLoad("s", 1, 2, 0.5, True)
-SUMMARY = messages.ServiceSummary("d", "s", 16, 3, 0, 1.5)
+LOAD = messages.ServerLoad("s", 1, 2)
+SUMMARY = messages.DomainSummary("d", 15, (messages.Room("s", 16, 3, 0),))
 VERSION = documents.Version("vm/a", 7, b"{}")
 BODIES = [
     messages.Heartbeat(True, 3, True),
     messages.OutcomeWanted("growers\nkey"),
     messages.OutcomeMissing("growers\nkey"),
-    messages.LoadDelta((LOAD, LOAD)),
-    messages.LoadDelta(()),
+    messages.LoadDelta(500, (LOAD, LOAD)),
+    messages.LoadDelta(0, ()),
     messages.Summaries((SUMMARY,)),
     messages.ConfigurationWanted(12),
     messages.ConfigurationChanges(3, 9, (VERSION, documents.Version("vm/b", 9, b""))),
@@ -82,7 +82,7 @@
     "body",
     [
         messages.Heartbeat(False, -1),
-        messages.LoadDelta((LOAD,) * (codec.MAX_LOADS + 1)),
+        messages.LoadDelta(0, (LOAD,) * (codec.MAX_LOADS + 1)),
         messages.OutcomeCopy("s", b"", 200, (), b"x" * codec.MAX_MESSAGE_BYTES, 1.0),
     ],
 )
--- a/packages/peers/bilberryridge/peers/tests/test_peers.py
+++ b/packages/peers/bilberryridge/peers/tests/test_peers.py
@@ -259,7 +259,7 @@
 
 def test_slow_peer_loses_its_oldest_load_messages_only(monkeypatch):
     monkeypatch.setattr(connection, "USER_TIMEOUT_MS", 60000)
-    delta = messages.LoadDelta((messages.ServerLoad("s", 1, 1, 0.0),) * 400)
+    delta = messages.LoadDelta(0, (messages.ServerLoad("s", 1, 1),) * 400)
     wanted = [messages.ConfigurationWanted(number) for number in range(40)]
     with harness.running("a", max_queued_messages=50, idle_timeout_s=60) as a:
         raw = harness.RawClient(a.address, receive_buffer_bytes=4096)
--- a/packages/standins/bilberryridge/standins/capacity.py
+++ b/packages/standins/bilberryridge/standins/capacity.py
@@ -32,6 +32,8 @@
 WARM_UP_S = 6
 N_MODELS = 6
 N_SLOTS = 16
+MAX_STEP = 3
+"""Most requests that begin or end at a server in a second."""
 WEBSOCKET_OVERHEAD_BYTES = 8
 TCP_IP_OVERHEAD_BYTES = 52
 
@@ -152,6 +154,7 @@
         self.nodes: dict[str, node.Node] = {}
         self.under_way: collections.deque[tuple[str, bytes]] = collections.deque()
         self.reads: dict[str, tuple[tuple[str, str], ...]] = {}
+        self.n_running: dict[str, int] = {}
         self.wanted: dict[str, set[str]] = {}
         self.watching: set[str] = set()
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -240,8 +243,10 @@
 
     def _read_loads(self, vm: str) -> None:
         for server, _ in self.reads.get(vm, ()):
-            n_running = self.random.randrange(N_SLOTS + 1)
-            self.give(vm, events.LoadRead(server, n_running, 0))
+            before = self.n_running.get(server, N_SLOTS // 2)
+            step = self.random.randint(-MAX_STEP, MAX_STEP)
+            self.n_running[server] = min(max(before + step, 0), N_SLOTS)
+            self.give(vm, events.LoadRead(server, self.n_running[server], 0))
 
     def _change(self) -> None:
         before, self.revision = self.revision, self.revision + 1
