--- a/packages/daemon/bilberryridge/daemon/main.py
+++ b/packages/daemon/bilberryridge/daemon/main.py
@@ -27,6 +27,10 @@
 SWITCH_INTERVAL_S = 0.001
 """How long a thread may keep the interpreter while another one waits."""
 
+KEEPALIVE_INTERVAL_S = 3.5
+"""Longer than between heartbeats, so that these make pings needless."""
+IDLE_TIMEOUT_S = 8.0
+
 EXIT_BAD_SETTINGS = 2
 
 
@@ -146,6 +150,8 @@
         incarnation=incarnation,
         peer_address=cfg.addresses.peers,
         shared_key=cfg.shared_key,
+        keepalive_interval_s=KEEPALIVE_INTERVAL_S,
+        idle_timeout_s=IDLE_TIMEOUT_S,
     )
 
 
--- a/packages/decisions/bilberryridge/decisions/load_flow.py
+++ b/packages/decisions/bilberryridge/decisions/load_flow.py
@@ -12,10 +12,10 @@
 
 LOADS_TOLD_INTERVAL_S = 1.0
 LOAD_REPEAT_S = 5.0
-SUMMARY_REPEAT_S = 5.0
+SUMMARY_REPEAT_S = 10.0
 MS_PER_S = 1000
 DEFAULT_ONE_WAY_S = 0.03
-ROOM_STALE_S = 15.0
+ROOM_STALE_S = 25.0
 """After this long without a word a domain is taken to be cut off."""
 
 CHANGE_SHARE = 0.125
@@ -52,14 +52,15 @@
     st: state.State, now_s: float, sender: str, body: messages.Summaries
 ) -> None:
     """Take rooms of other domains; the newest word on each counts."""
-    news = [s for s in body.domains if s.domain in st.deployment.domains]
-    news = [s for s in news if s.domain != st.cfg.domain]
-    for summary in news:
-        _take_summary(st, now_s, summary)
     is_from_outside = sender not in st.own_daemon_names()
-    if news and is_from_outside:
-        for peer in st.own_peers():
-            st.send_peer(peer, messages.Summaries(tuple(news)))
+    for summary in body.domains:
+        is_known = summary.domain in st.deployment.domains
+        if not is_known or summary.domain == st.cfg.domain:
+            continue
+        _take_summary(st, now_s, summary)
+        if is_from_outside:
+            # Passed on within the domain with the next word on loads.
+            st.heard_domains.add(summary.domain)
 
 
 def _take_summary(
@@ -107,6 +108,7 @@
     _share_reports(st, now_s)
     _tell_loads(st, now_s)
     _tell_summaries(st, now_s)
+    _pass_summaries_on(st, now_s)
     for by_domain in st.remote_rooms.values():
         for domain, remote in list(by_domain.items()):
             if _age_s(now_s, remote) > ROOM_STALE_S:
@@ -169,14 +171,54 @@
     outside = [peer.vm for peer in st.members.connected() if peer.vm not in own]
     if not outside:
         return
-    due = [room for room in _own_rooms(st, now_s) if _is_room_due(st, now_s, room)]
-    if not due:
+    rooms = _own_rooms(st, now_s)
+    if not any(_is_due(now_s, r, st.told_rooms.get(r.service)) for r in rooms):
         return
+    # One message that is due costs little more with what is half due.
+    due = [
+        r
+        for r in rooms
+        if _is_due(now_s + SUMMARY_REPEAT_S / 2, r, st.told_rooms.get(r.service))
+    ]
+    for room in due:
+        st.told_rooms[room.service] = (room, now_s)
     summary = messages.DomainSummary(st.cfg.domain, 0, tuple(due))
     for vm in outside:
         st.send_peer(vm, messages.Summaries((summary,)))
 
 
+def _pass_summaries_on(st: state.State, now_s: float) -> None:
+    found = []
+    for domain in sorted(st.heard_domains):
+        rooms, age_s = [], 0.0
+        for service, by_domain in st.remote_rooms.items():
+            remote = by_domain.get(domain)
+            if remote is None or not _is_news(st, now_s, service, remote):
+                continue
+            known = remote.summary
+            rooms.append(
+                messages.Room(service, known.n_slots, known.n_busy, known.n_waiting)
+            )
+            age_s = max(age_s, _age_s(now_s, remote))
+            st.passed_rooms[domain, service] = (rooms[-1], now_s)
+        if rooms:
+            age_ms = round(age_s * MS_PER_S)
+            found.append(messages.DomainSummary(domain, age_ms, tuple(rooms)))
+    st.heard_domains.clear()
+    if found:
+        for peer in st.own_peers():
+            st.send_peer(peer, messages.Summaries(tuple(found)))
+
+
+def _is_news(
+    st: state.State, now_s: float, service: str, remote: placement.RemoteDomain
+) -> bool:
+    known = remote.summary
+    room = messages.Room(service, known.n_slots, known.n_busy, known.n_waiting)
+    passed = st.passed_rooms.get((remote.domain, service))
+    return _is_due(now_s, room, passed)
+
+
 def _own_rooms(st: state.State, now_s: float) -> list[messages.Room]:
     totals: dict[str, messages.Room] = {}
     for vm in own_servers(st):
@@ -196,15 +238,14 @@
     return list(totals.values())
 
 
-def _is_room_due(st: state.State, now_s: float, room: messages.Room) -> bool:
-    told = st.told_rooms.get(room.service)
-    if told is not None and now_s - told[1] < SUMMARY_REPEAT_S:
-        before = told[0]
-        n_changed = max(
-            abs(room.n_slots - before.n_slots),
-            abs(room.n_busy + room.n_waiting - before.n_busy - before.n_waiting),
-        )
-        if n_changed <= CHANGE_SHARE * max(room.n_slots, before.n_slots):
-            return False
-    st.told_rooms[room.service] = (room, now_s)
-    return True
+def _is_due(
+    now_s: float, room: messages.Room, told: tuple[messages.Room, float] | None
+) -> bool:
+    if told is None or now_s - told[1] >= SUMMARY_REPEAT_S:
+        return True
+    before = told[0]
+    n_changed = max(
+        abs(room.n_slots - before.n_slots),
+        abs(room.n_busy + room.n_waiting - before.n_busy - before.n_waiting),
+    )
+    return n_changed > CHANGE_SHARE * max(room.n_slots, before.n_slots)
--- a/packages/decisions/bilberryridge/decisions/membership.py
+++ b/packages/decisions/bilberryridge/decisions/membership.py
@@ -67,6 +67,7 @@
         self._list_read_s: float | None = None
         self._unreachable_until_s: dict[str, float] = {}
         self._told_leaving: dict[str, tuple[float, frozenset[str]]] = {}
+        self._told_by: dict[str, set[str]] = {}
         self._began_s: float | None = None
 
     def begin(self, now_s: float) -> None:
@@ -106,7 +107,7 @@
             peer.has_store = frame.body.has_store
             peer.n_open = frame.body.n_open
         if isinstance(frame.body, messages.LeavingServers):
-            self._told_leaving[frame.sender] = (now_s, frozenset(frame.body.servers))
+            self._on_told(now_s, frame.sender, frozenset(frame.body.servers))
 
     def on_unreachable(self, now_s: float, vm: str) -> None:
         """Note that a connection to a daemon could not be made."""
@@ -221,11 +222,20 @@
             self._list_read_s is not None and now_s - self._list_read_s <= LIST_FRESH_S
         )
 
-    def _is_told_leaving(self, now_s: float, server: str) -> bool:
+    def _on_told(self, now_s: float, sender: str, vms: frozenset[str]) -> None:
+        _, before = self._told_leaving.get(sender, (0.0, frozenset()))
+        for vm in before - vms:
+            self._told_by[vm].discard(sender)
+            if not self._told_by[vm]:
+                del self._told_by[vm]
+        for vm in vms - before:
+            self._told_by.setdefault(vm, set()).add(sender)
+        self._told_leaving[sender] = (now_s, vms)
+
+    def _is_told_leaving(self, now_s: float, vm: str) -> bool:
+        senders = self._told_by.get(vm, ())
         return any(
-            server in servers
-            for told_s, servers in self._told_leaving.values()
-            if now_s - told_s <= TOLD_HOLDS_S
+            now_s - self._told_leaving[sender][0] <= TOLD_HOLDS_S for sender in senders
         )
 
 
--- a/packages/decisions/bilberryridge/decisions/membership_flow.py
+++ b/packages/decisions/bilberryridge/decisions/membership_flow.py
@@ -12,7 +12,8 @@
     state,
 )
 
-LIST_TOLD_INTERVAL_S = 2.0
+LIST_TOLD_INTERVAL_S = 1.0
+LIST_REPEAT_S = 4.0
 CONNECT_INTERVAL_S = 1.0
 HEARTBEAT_REPEATS = 3
 """A heartbeat's own news are repeated after this many intervals."""
@@ -36,6 +37,8 @@
     # It has heard nothing yet of what was told before.
     st.told_rooms.clear()
     st.told_loads.clear()
+    st.passed_rooms.clear()
+    st.leaving_told_s = float("-inf")
 
 
 def on_peer_down(st: state.State, now_s: float, event: events.PeerDown) -> None:
@@ -111,10 +114,13 @@
     for peer in st.members.connected():
         if peer.vm not in own_daemons:
             from_outside |= st.members.told_leaving_by(now_s, peer.vm)
-    is_quiet = not (own or from_outside or st.told_leaving)
-    st.told_leaving = own | from_outside
-    if is_quiet:
+    now = own | from_outside
+    is_same = now == st.told_leaving
+    is_repeat = bool(now) and now_s - st.leaving_told_s >= LIST_REPEAT_S
+    if is_same and not is_repeat:
         return
+    st.told_leaving = now
+    st.leaving_told_s = now_s
     for peer in st.members.connected():
         # Word from outside goes on within the domain only, so it can't come back.
         told = own | from_outside if peer.vm in own_daemons else own
--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -155,6 +155,7 @@
         self.sent_peer_s: dict[str, float] = {}
         self.now_s = float("-inf")
         self.told_leaving: set[str] = set()
+        self.leaving_told_s = float("-inf")
         self.last_list_told_s = float("-inf")
         # Load
         self.loads = loads.LoadBook(MAX_LOADED_SERVERS, random_state)
@@ -166,6 +167,8 @@
         self.last_loads_told_s = float("-inf")
         self.fresh_reports: dict[str, float] = {}
         self.told_loads: dict[str, tuple[int, int, float]] = {}
+        self.heard_domains: set[str] = set()
+        self.passed_rooms: dict[tuple[str, str], tuple[messages.Room, float]] = {}
         self.told_rooms: dict[str, tuple[messages.Room, float]] = {}
         # Requests
         self.open: dict[str, Open] = {}
