One registry of the names that the packages record; metrics page checked against it

A test reads every record in the source and compares names and numbers of labels with the registry, both ways, and the operators' page with the registry's table.

Seen to fail with one name misspelt, one label taken away, and without the page.

--- a/packages/configuration/bilberryridge/configuration/tests/test_documents.py
+++ b/packages/configuration/bilberryridge/configuration/tests/test_documents.py
@@ -4,6 +4,7 @@
 
 from bilberryridge.configuration import crosschecks, documents
 from bilberryridge.core import documents as core_documents
+from bilberryridge.core import encoding
 
 DIGEST = hashlib.sha256(b"caller").hexdigest()
 ENTRY = """\
@@ -108,7 +109,12 @@
     for one in placed:
         key, data = documents.key_of(one.document), documents.to_json(one.document)
         assert documents.from_entry(key, data).unwrap() == one.document
-        assert documents.from_json(key.split("/")[0], data).unwrap() == one.document
+        kind = key.split("/")[0]
+        assert documents.from_json(kind, data).unwrap() == one.document
+        # The daemons decode with the core's own codec.
+        assert encoding.from_json(kind, data) == one.document
+        other = encoding.to_json(one.document)
+        assert documents.from_json(kind, other).unwrap() == one.document
         (tmp_path / f"{key}.yaml").write_text(documents.to_yaml(one.document))
     again = documents.read_directory(tmp_path).unwrap()
     assert [one.document for one in again] == [one.document for one in placed]
--- a/packages/daemon/bilberryridge/daemon/tests/test_metrics.py
+++ b/packages/daemon/bilberryridge/daemon/tests/test_metrics.py
@@ -1,6 +1,6 @@
 import pytest
 
-from bilberryridge.daemon import metrics, registry
+from bilberryridge.daemon import metrics
 
 EXPECTED = """\
 # HELP bilberryridge_refusals_total Requests refused.
@@ -10,9 +10,10 @@
 # HELP bilberryridge_open_requests Requests open at this daemon.
 # TYPE bilberryridge_open_requests gauge
 bilberryridge_open_requests 7
-# HELP bilberryridge_request_seconds From arrival to the end of the answer.
-# TYPE bilberryridge_request_seconds summary
+# HELP bilberryridge_first_content_seconds From arrival to the first content.
+# TYPE bilberryridge_first_content_seconds summary
 """
+SECONDS = "bilberryridge_first_content_seconds"
 
 
 class Clock:
@@ -30,15 +31,15 @@
     found.set_gauge("open_requests", (), 9)
     found.set_gauge("open_requests", (), 7)
     for i in range(1, 101):
-        found.observe_s("request", ("desk",), i / 100)
+        found.observe_s("first_content", ("desk",), i / 100)
     head, rows = found.render().split("summary\n")
     assert head + "summary\n" == EXPECTED
     values = dict(line.rsplit(" ", 1) for line in rows.splitlines())
     for quantile, seconds in [("0.5", 0.5), ("0.95", 0.95), ("0.99", 0.99)]:
-        key = f'bilberryridge_request_seconds{{service="desk",quantile="{quantile}"}}'
+        key = f'{SECONDS}{{service="desk",quantile="{quantile}"}}'
         assert float(values[key]) == pytest.approx(seconds, rel=0.01)
-    assert values['bilberryridge_request_seconds_count{service="desk"}'] == "100"
-    assert values['bilberryridge_request_seconds_sum{service="desk"}'] == "50.5"
+    assert values[SECONDS + '_count{service="desk"}'] == "100"
+    assert values[SECONDS + '_sum{service="desk"}'] == "50.5"
 
 
 @pytest.mark.parametrize(
@@ -78,8 +79,3 @@
     assert 'bilberryridge_step_seconds_sum{event="tick"} 102' in text
     clock.now_s = 9 * metrics.WINDOW_S
     assert "quantile" not in found.render()
-
-
-def test_full_names_are_unique():
-    names = [metric.full_name for metric in registry.METRICS]
-    assert len(set(names)) == len(names)
--- /dev/null
+++ b/packages/daemon/bilberryridge/daemon/tests/test_registry.py
@@ -0,0 +1,66 @@
+import ast
+import pathlib
+
+from bilberryridge.daemon import registry
+
+ROOT = pathlib.Path(__file__).parents[5]
+PAGE = ROOT / "docs" / "operators" / "metrics.md"
+METHODS = {"count", "observe_s", "set_gauge"}
+
+
+def recorded():
+    """Every record in the product's source: file, name, number of labels or None."""
+    for path in sorted(ROOT.glob("packages/*/bilberryridge/*/*.py")):
+        tree = ast.parse(path.read_text())
+        constants = constants_of(tree)
+        for item in ast.walk(tree):
+            if is_record(item):
+                name = constants.get(ast.unparse(item.args[0]))
+                if name is not None:
+                    yield path.name, name, n_labels(path, item.args[1:])
+
+
+def constants_of(tree):
+    """Texts that are identifiers, by how the source writes them."""
+    found = {}
+    for item in ast.walk(tree):
+        if isinstance(item, ast.Constant) and str(item.value).isidentifier():
+            found[ast.unparse(item)] = item.value
+    for item in tree.body:
+        if isinstance(item, ast.Assign) and ast.unparse(item.value) in found:
+            found[ast.unparse(item.targets[0])] = found[ast.unparse(item.value)]
+    return found
+
+
+def is_record(item):
+    is_call = isinstance(item, ast.Call) and isinstance(item.func, ast.Attribute)
+    return is_call and item.func.attr in METHODS and item.args
+
+
+def n_labels(path, labels):
+    if labels and isinstance(labels[0], ast.Tuple):
+        return len(labels[0].elts)
+    # The decisions give labels one by one.
+    return len(labels) if "decisions" in path.parts or not labels else None
+
+
+def test_every_record_is_registered_and_the_other_way_round():
+    found = list(recorded())
+    names = {name for _, name, _ in found}
+    assert names - registry.BY_NAME.keys() == set()
+    assert registry.BY_NAME.keys() - names == set()
+    wrong = [
+        (file, name, n)
+        for file, name, n in found
+        if n not in (None, len(registry.BY_NAME[name].labels))
+    ]
+    assert wrong == []
+
+
+def test_page_holds_the_table():
+    assert registry.table() in PAGE.read_text()
+
+
+def test_full_names_are_unique():
+    names = [metric.full_name for metric in registry.METRICS]
+    assert len(set(names)) == len(names)
