--- a/packages/decisions/bilberryridge/decisions/membership_flow.py
+++ b/packages/decisions/bilberryridge/decisions/membership_flow.py
@@ -15,6 +15,7 @@
 LIST_TOLD_INTERVAL_S = 1.0
 LIST_REPEAT_S = 4.0
 CONNECT_INTERVAL_S = 1.0
+BEAT_CHECK_INTERVAL_S = 0.2
 HEARTBEAT_REPEATS = 3
 """A heartbeat's own news are repeated after this many intervals."""
 
@@ -69,6 +70,9 @@
 def on_tick(st: state.State, now_s: float) -> None:
     """Send what is due and choose whom to stay connected to."""
     st.members.begin(now_s)
+    if now_s - st.last_beat_s < BEAT_CHECK_INTERVAL_S:
+        return
+    st.last_beat_s = now_s
     for vm in st.members.expire(now_s, st.own_daemon_names()):
         st.changed("peer", vm, "connected", "silent")
     if now_s - st.last_connect_s >= CONNECT_INTERVAL_S:
--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -150,6 +150,7 @@
         self.members = membership.Membership(cfg.vm)
         self.wanted_peers: tuple[tuple[str, str], ...] = ()
         self.last_connect_s = float("-inf")
+        self.last_beat_s = float("-inf")
         self.heartbeat_told_s: dict[str, float] = {}
         self.heartbeat_told: messages.Heartbeat | None = None
         self.sent_peer_s: dict[str, float] = {}
