--- a/packages/decisions/bilberryridge/decisions/configuration_flow.py
+++ b/packages/decisions/bilberryridge/decisions/configuration_flow.py
@@ -64,6 +64,7 @@
     st.step_daemon("configured")
     # The revision in the next message tells the peers that there is something to fetch;
     # those of other domains have watchers of their own and hear of it soon enough.
+    st.last_beat_s = float("-inf")
     for vm in st.own_peers():
         st.heartbeat_told_s.pop(vm, None)
 
--- a/packages/decisions/bilberryridge/decisions/stop_flow.py
+++ b/packages/decisions/bilberryridge/decisions/stop_flow.py
@@ -12,6 +12,8 @@
         return
     st.leaving_since_s = now_s
     st.step_daemon("stop")
+    # The next tick tells the peers.
+    st.last_beat_s = float("-inf")
 
 
 def on_tick(st: state.State, now_s: float) -> None:
