Edge: a connection is used again only after a whole answer; slow callers and cut relays

- An answer that was blank, or a stream without its end marker, left its connection in libcurl's pool; now it is shut down. libcurl forgets which connection a transfer had once it is removed, so transfers report before they are removed.
- A deadline that passed while the caller held the stream up ended as TIMED_OUT and counted against the server; now CANCELLED.
- A cut stream through two daemons ended with two error events; now the inner one's.
- New tests for the first-byte deadline, kept connections at a stop and output that waits at a close; each was seen to fail with its mechanism taken out.

--- a/packages/transport/bilberryridge/transport/attempt.py
+++ b/packages/transport/bilberryridge/transport/attempt.py
@@ -192,9 +192,10 @@
             is_complete = errno == 0 and self._head.has_length(self._order.method)
         if errno == pycurl.E_OPERATION_TIMEDOUT and not is_complete:
             self._is_late = True
-        self._end(is_complete)
+        if self._end(is_complete) not in verdicts.WHOLE_ANSWERS:
+            outgoing.spoil_connection(self._curl)
 
-    def _end(self, is_complete: bool) -> None:
+    def _end(self, is_complete: bool) -> events.AttemptResult:
         result = verdicts.of(self._facts(is_complete))
         answer = None
         if self._is_committed:
@@ -213,17 +214,20 @@
             n_output_tokens=self._n_output_tokens(),
         )
         self._owner.on_ended(self, ended)
+        return result
 
     def _end_committed(self, result: events.AttemptResult) -> None:
         if result is events.AttemptResult.WHOLE:
             self.exchange.finish()
             return
+        stream = self._stream
         refusal = outcomes.Refusal(
             outcomes.Reason.ANSWER_LOST,
             outcomes.Outcome.UNKNOWN,
             "the answer was cut on its way",
         )
-        self.exchange.cut(refusal, self.is_stream)
+        is_told = self._is_daemon and stream is not None and stream.is_refused
+        self.exchange.cut(refusal, stream is not None and not is_told)
 
     def _end_held(self, result: events.AttemptResult) -> events.StoredAnswer:
         """Hand the whole answer on, or hold it for the node's word."""
@@ -252,6 +256,7 @@
         return verdicts.Facts(
             may_have_left=self._may_have_left,
             is_late=self._is_late,
+            is_held_up=self.is_paused or self.exchange.is_full,
             is_crossed=self._is_crossed,
             is_complete=is_complete,
             is_blank=self._is_blank(),
--- a/packages/transport/bilberryridge/transport/outgoing.py
+++ b/packages/transport/bilberryridge/transport/outgoing.py
@@ -1,5 +1,8 @@
 """Set-up of the libcurl transfer of one attempt."""
 
+import contextlib
+import os
+import socket
 import time
 
 import attrs
@@ -60,6 +63,19 @@
     return curl
 
 
+def spoil_connection(curl: pycurl.Curl) -> None:
+    """Shut down the connection of a transfer that is over, so that none follows on it.
+
+    libcurl offers no way to close one connection that it keeps; it gives up one that it
+    finds shut down.
+    """
+    fd = curl.getinfo(pycurl.ACTIVESOCKET)
+    if fd < 0:
+        return
+    with contextlib.suppress(OSError), socket.socket(fileno=os.dup(fd)) as sock:
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 # libcurl would add these; an `Expect` that is refused makes it send again.
 _ADDED_BY_LIBCURL = ("Expect", "User-Agent", "Accept", "Content-Type")
 
--- a/packages/transport/bilberryridge/transport/tests/test_attempts.py
+++ b/packages/transport/bilberryridge/transport/tests/test_attempts.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from bilberryridge.decisions import events
+from bilberryridge.decisions import effects, events
 from bilberryridge.transport.tests import rig, scripted_backend
 from bilberryridge.transport.tests.scripted_backend import (
     DONE,
@@ -169,6 +169,96 @@
                 assert body == b"/%d" % n
 
 
+# Name, what the server sends at once, what after the first byte was due, the result.
+FIRST_BYTES = [
+    ("silent", b"", plain(b"6"), RESULT.TIMED_OUT),
+    ("head only", plain(b"6")[:-1], b"6", RESULT.TIMED_OUT),
+    ("first byte in time", plain(b"six")[:-1], b"x", RESULT.WHOLE),
+]
+
+
+@pytest.mark.parametrize("case", FIRST_BYTES, ids=[case[0] for case in FIRST_BYTES])
+def test_only_the_first_byte_has_to_come_by_its_own_deadline(case):
+    _name, at_once, later, result = case
+    first_byte_s = 1.0
+
+    def script(turn):
+        turn.send(at_once)
+        threading.Event().wait(first_byte_s * 1.5)
+        turn.send(later)
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address, first_byte_s=first_byte_s)
+        with rig.open_rig(node) as running:
+            running.caller().ask(*LOOKUP)
+            assert node.wait_for(events.AttemptEnded).result is result
+
+
+GOOD_STREAM = STREAM_HEAD + delta("a") + DONE + LAST_CHUNK
+BLANK_STREAM = STREAM_HEAD + ROLE + DONE + LAST_CHUNK
+ENDLESS_STREAM = STREAM_HEAD + delta("a") + LAST_CHUNK
+
+# Name, request, the answer (the connection stays open), the result, whether the next
+# request may come on the same connection.
+KEPT = [
+    ("whole", LOOKUP, plain(b"6"), RESULT.WHOLE, True),
+    ("whole stream", CHAT, GOOD_STREAM, RESULT.WHOLE, True),
+    ("client error", LOOKUP, plain(b"no", 404), RESULT.WHOLE, True),
+    ("blank", LOOKUP, plain(b" "), RESULT.LOST, False),
+    ("blank chat", PLAIN_CHAT, plain(BLANK_CHAT), RESULT.LOST, False),
+    ("blank stream", CHAT, BLANK_STREAM, RESULT.LOST, False),
+    ("no end marker", CHAT, ENDLESS_STREAM, RESULT.LOST, False),
+    ("crossed", LOOKUP, plain(b"6", 200, OTHER_ID), RESULT.LOST, False),
+    ("late", LOOKUP, b"", RESULT.TIMED_OUT, False),
+    ("short", LOOKUP, OVER_ANSWER, RESULT.TIMED_OUT, False),
+    ("given up", LOOKUP, b"", None, False),
+]
+
+
+@pytest.mark.parametrize("case", KEPT, ids=[case[0] for case in KEPT])
+def test_only_the_connection_of_a_whole_answer_is_used_again(case):
+    _name, asked, sent, result, is_kept = case
+
+    def script(turn):
+        turn.send(sent if len(backend.turns) == 1 else plain(b"next"))
+
+    with scripted_backend.open_backend(script) as backend:
+        deadline_s = 1.0 if result is RESULT.TIMED_OUT else rig.GENEROUS_S
+        node = rig.Node(backend.address, deadline_s=deadline_s)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            caller.send(*asked)
+            if result is None:
+                wait_until(lambda: backend.turns)
+                request_id = node.wait_for(events.RequestArrived).req.request_id
+                running.edge.put(effects.CancelAttempt(request_id, 1))
+                running.edge.put(effects.Refuse(request_id, rig.LOST))
+            else:
+                assert node.wait_for(events.AttemptEnded).result is result
+            node.deadline_s = rig.GENEROUS_S
+            caller.read()
+            assert running.caller().ask(*LOOKUP).body == b"next"
+        first, second = backend.turns
+        assert (first.n_conn == second.n_conn) == is_kept
+
+
+def test_a_deadline_that_passes_while_the_caller_is_slow_is_not_the_servers():
+    content = "y" * 50_000
+
+    def script(turn):
+        turn.send(STREAM_HEAD + delta(content) * 400)
+
+    with scripted_backend.open_backend(script) as backend:
+        node = rig.Node(backend.address, deadline_s=3.0)
+        with rig.open_rig(node) as running:
+            caller = running.caller()
+            caller.send(*CHAT)
+            ended = node.wait_for(events.AttemptEnded)
+            assert running.counters.counts[("edge_pauses",)]
+            caller.sock.close()
+        assert (ended.result, ended.is_committed) == (RESULT.CANCELLED, True)
+
+
 def test_a_whole_answer_that_may_not_repeat_is_reported_for_retries():
     large = b"x" * 20_000
     for body, kept in ((b"booked", b"booked"), (large, b"")):
--- a/packages/transport/bilberryridge/transport/tests/test_edge.py
+++ b/packages/transport/bilberryridge/transport/tests/test_edge.py
@@ -244,6 +244,9 @@
     go_on = threading.Event()
 
     def script(turn):
+        if turn.method == "GET":
+            turn.send(plain(b"6"))
+            return
         turn.send(STREAM_HEAD + delta("a"))
         go_on.wait(rig.GENEROUS_S)
         turn.send(delta("b") + DONE + LAST_CHUNK)
@@ -251,11 +254,13 @@
     with scripted_backend.open_backend(script) as backend:
         node = rig.Node(backend.address)
         with rig.open_rig(node) as running:
-            idle, busy = running.caller(), running.caller()
+            unused, kept, busy = (running.caller() for _ in range(3))
+            assert kept.ask("GET", TARGET).is_whole
             busy.send("POST", "/v1/chat/completions", rig.chat_body())
-            node.wait_for(events.AttemptBegan)
+            node.wait_for(events.AttemptBegan, 2)
             running.edge.stop_accepting()
-            assert idle.sock.recv(1) == b""
+            assert unused.sock.recv(1) == b""
+            assert kept.sock.recv(1) == b""
             with pytest.raises(ConnectionError):
                 socket.create_connection(running.edge.caller_address)
             go_on.set()
@@ -266,15 +271,34 @@
 
 
 def test_closing_waits_for_a_caller_that_still_reads():
-    body = b"x" * 900_000
+    # More than the kernel holds for a socket, so that the edge itself holds a part.
+    body = b"x" * 32_000_000
+    node = rig.Node("127.0.0.1:1", is_answering=False)
+    with rig.open_rig(node) as running:
+        caller = running.caller()
+        caller.send("GET", TARGET)
+        request_id = node.wait_for(events.RequestArrived).req.request_id
+        stored = events.StoredAnswer(200, (), body)
+        running.edge.put(effects.AnswerStored(request_id, stored))
+        running.edge.close()
+        assert caller.read().body == body
+        running.running.result(rig.GENEROUS_S)
 
-    with scripted_backend.open_backend(lambda turn: turn.send(plain(body))) as backend:
-        node = rig.Node(backend.address)
-        with rig.open_rig(node) as running:
-            caller = running.caller()
-            caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-            caller.send("GET", TARGET)
-            node.wait_for(events.AttemptEnded)
-            running.edge.close()
-            assert caller.read().body == body
-            running.running.result(rig.GENEROUS_S)
+
+def test_a_relayed_stream_that_is_cut_says_so_once():
+    def script(turn):
+        turn.send(STREAM_HEAD + delta("a"))
+        turn.close()
+
+    with scripted_backend.open_backend(script) as backend:
+        inner = rig.Node(backend.address)
+        with rig.open_rig(inner) as second:
+            relay = "{}:{}".format(*second.edge.relay_address)
+            outer = rig.Node(relay, envelope=ENVELOPE)
+            with rig.open_rig(outer) as first:
+                target, body = "/v1/chat/completions", rig.chat_body()
+                answer = first.caller().ask("POST", target, body)
+    request_id = outer.wait_for(events.RequestArrived).req.request_id
+    assert answer.body.count(b"event: error") == 1
+    assert answer.body.count(request_id.encode()) == 1
+    assert not answer.is_whole
--- a/packages/transport/bilberryridge/transport/verdicts.py
+++ b/packages/transport/bilberryridge/transport/verdicts.py
@@ -6,6 +6,8 @@
 from bilberryridge.decisions import events
 
 RESULT = events.AttemptResult
+WHOLE_ANSWERS = frozenset([RESULT.WHOLE, RESULT.REFUSED, RESULT.FAILED])
+"""Results of an answer that came to its end and is what it should be."""
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 SERVER_ERRORS = 500
@@ -21,6 +23,8 @@
     may_have_left : bool
         Whether any byte of the request may have left.
     is_late : bool
+    is_held_up : bool
+        Whether the caller read so slowly that the server had to wait.
     is_crossed : bool
         Whether the answer names another request.
     is_complete : bool
@@ -38,6 +42,7 @@
 
     may_have_left: bool = True
     is_late: bool = False
+    is_held_up: bool = False
     is_crossed: bool = False
     is_complete: bool = True
     is_blank: bool = False
@@ -58,7 +63,8 @@
     if not facts.may_have_left:
         return RESULT.NOT_SENT
     if facts.is_late:
-        return RESULT.TIMED_OUT
+        # The server isn't to be held for its caller's slowness.
+        return RESULT.CANCELLED if facts.is_held_up else RESULT.TIMED_OUT
     if facts.is_crossed or not facts.is_complete:
         return RESULT.LOST
     if _is_refused(facts):
--- a/packages/transport/bilberryridge/transport/wholeness.py
+++ b/packages/transport/bilberryridge/transport/wholeness.py
@@ -10,6 +10,7 @@
 END_MARKER = b"data: [DONE]"
 MAX_EVENT_BYTES = 1 << 20
 _DATA = b"data:"
+_ERROR = b"event: error"
 
 
 class EventStream:
@@ -26,6 +27,8 @@
         Whether the end marker came in.
     is_begun : bool
         Whether content came in.
+    is_refused : bool
+        Whether the last event so far says that the stream can't be finished.
     n_events : int
         Events with data, the end marker left out.
 
@@ -38,13 +41,21 @@
     (b'data: [DONE]\\n\\n', True, 1)
     """
 
-    __slots__ = ("_has_content", "_held", "is_begun", "is_ended", "n_events")
+    __slots__ = (
+        "_has_content",
+        "_held",
+        "is_begun",
+        "is_ended",
+        "is_refused",
+        "n_events",
+    )
 
     def __init__(self, has_content: bool):
         self._has_content = has_content
         self._held = b""
         self.is_begun = False
         self.is_ended = False
+        self.is_refused = False
         self.n_events = 0
 
     def feed(self, chunk: bytes) -> bytes:
@@ -59,6 +70,7 @@
         self.n_events += chunk.count(_DATA)
         if b"[DONE]" in chunk:
             self._look_for_end(chunk)
+        self.is_refused = _ERROR in chunk and _is_error(chunk)
         if not self.is_begun:
             self.is_begun = self._is_content(chunk)
         return chunk
@@ -90,6 +102,12 @@
         return any(has_delta_content(text) for text in texts)
 
 
+def _is_error(events: bytes) -> bool:
+    """Whether the last event is an error."""
+    last = events.rstrip(b"\r\n").replace(b"\r\n", b"\n").rpartition(b"\n\n")[2]
+    return last.startswith(_ERROR)
+
+
 def _choices_of(text: bytes | bytearray) -> list[dict]:
     try:
         answer = json.loads(text)
--- a/packages/utilities/bilberryridge/utilities/transfers.py
+++ b/packages/utilities/bilberryridge/utilities/transfers.py
@@ -125,8 +125,9 @@
                 if on_done is None:
                     # Removed by the report of one that ended at the same time.
                     continue
-                self._multi.remove_handle(curl)
+                # A transfer that is removed no longer knows its connection.
                 on_done(curl, errno, text)
+                self._multi.remove_handle(curl)
                 curl.close()
 
 
