Edge: parts of chunked answers are framed without h11

Profile (cProfile of the edge's thread, 450 streams): of 7.9 s busy, 2.3 s in h11's Connection.send for one token each; the sends themselves 1.0 s, libcurl 1.3 s. Ruled out: the pause check and the event cutter (0.3 and 0.5 s). The chunk's frame is now written directly once h11 has chosen chunks.

--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -20,6 +20,7 @@
 LINGER_S = 1.0
 MAX_PIPELINED_BYTES = 65_536
 HEAD_TOO_LARGE = 431
+CHUNKED = b"\r\ntransfer-encoding: chunked\r\n"
 
 
 class Phase(enum.Enum):
@@ -95,6 +96,7 @@
         self._alarm: timers.Timer | None = None
         self._is_stopping = False
         self._is_finished = False
+        self._is_chunked = False
         self._is_watching_writes = False
         self._is_broken = False
         selector.register(sock, selectors.EVENT_READ, self)
@@ -125,11 +127,17 @@
         answer = h11.Response(
             status_code=status, headers=list(fields), reason=reason.encode()
         )
-        self._write(self._http.send(answer) or b"")
+        head = self._http.send(answer) or b""
+        self._is_chunked = CHUNKED in head.lower()
+        self._write(head)
 
     def send(self, data: bytes) -> None:
-        """Send a part of the answer's body."""
-        self._write(self._http.send(h11.Data(data=data)) or b"")
+        """Send a part of the answer's body; not empty."""
+        if self._is_chunked:
+            # For each token h11's checks would cost a third of the edge's time.
+            self._write(b"%x\r\n%b\r\n" % (len(data), data))
+        else:
+            self._write(self._http.send(h11.Data(data=data)) or b"")
 
     def finish(self) -> None:
         """End the answer; the connection may take the next request."""
