Edge: request bodies are bounded together; refusals at the port say no more than is known

- Bodies of all open requests share one limit (64 MiB); over it a request is refused as busy.
Its room comes back at the end of the exchange, when a request is refused, when its caller leaves.
- A request refused at the port with an idempotency key was told `not_run`, though an earlier try may have run; it is `unknown` now, as where no head could be read.
A daemon that asks only for this try is still told `not_run`.
Connections over the limit are therefore refused after their head, not before it.

--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -8,18 +8,26 @@
 import selectors
 import socket
 import time
-from typing import Protocol
 
 import h11
 from werkzeug import http
 
 from bilberryridge.core import outcomes
-from bilberryridge.transport import errors, headers, routes, settings, timers
+from bilberryridge.transport import (
+    connection_owner,
+    errors,
+    headers,
+    limits,
+    output,
+    refusals,
+    request_reader,
+    settings,
+    timers,
+)
 
 READ_BYTES = 65_536
 LINGER_S = 1.0
 MAX_PIPELINED_BYTES = 65_536
-HEAD_TOO_LARGE = 431
 CHUNKED = b"\r\ntransfer-encoding: chunked\r\n"
 
 
@@ -34,28 +42,6 @@
     CLOSED = "closed"
 
 
-class Owner(Protocol):
-    """What a connection tells the one that answers."""
-
-    def on_head(self, conn: "Connection", head: routes.Head) -> None:
-        """Look at a head before its body; raises `errors.BadRequestError`."""
-
-    def on_request(self, conn: "Connection", head: routes.Head, body: bytes) -> None:
-        """Take a whole request; raises `errors.BadRequestError`."""
-
-    def on_bad_input(self, conn: "Connection", refusal: outcomes.Refusal) -> None:
-        """Refuse what is no request; the connection is answered and ends."""
-
-    def on_gone(self, conn: "Connection") -> None:
-        """Give up the open request: nobody reads its answer."""
-
-    def on_drained(self, conn: "Connection") -> None:
-        """Go on after `Connection.is_full`."""
-
-    def on_closed(self, conn: "Connection") -> None:
-        """Forget the connection."""
-
-
 class Connection:
     """A caller's connection; all methods are for the edge's thread.
 
@@ -67,6 +53,12 @@
         Of the caller.
     is_relay : bool
         Whether it came in on the relay port.
+    cfg : settings.EdgeSettings
+    selector : selectors.BaseSelector
+    alarms : timers.Timers
+    bodies : limits.ByteLimit
+        Of the request bodies of all connections together.
+    owner : connection_owner.Owner
     """
 
     def __init__(
@@ -77,7 +69,8 @@
         cfg: settings.EdgeSettings,
         selector: selectors.BaseSelector,
         alarms: timers.Timers,
-        owner: Owner,
+        bodies: limits.ByteLimit,
+        owner: connection_owner.Owner,
     ):
         self.address = address
         self.is_relay = is_relay
@@ -90,27 +83,24 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=cfg.max_head_bytes
         )
-        self._out = bytearray()
-        self._body = bytearray()
-        self._head: routes.Head | None = None
+        self._reader = request_reader.RequestReader(self._http, cfg, bodies)
+        self._output = output.Output(sock, selector, self, self._on_broken)
         self._alarm: timers.Timer | None = None
         self._is_stopping = False
         self._is_finished = False
         self._is_chunked = False
-        self._is_watching_writes = False
-        self._is_broken = False
         selector.register(sock, selectors.EVENT_READ, self)
-        self._set_alarm(cfg.head_deadline_s, self._on_silent)
+        self._set_alarm(cfg.head_deadline_s, self.close)
 
     @property
     def is_full(self) -> bool:
         """Whether the caller reads so slowly that the source must pause."""
-        return len(self._out) > self._cfg.max_buffered_bytes
+        return len(self._output) > self._cfg.max_buffered_bytes
 
     @property
     def has_output(self) -> bool:
         """Whether bytes wait for the caller."""
-        return bool(self._out)
+        return bool(self._output)
 
     def on_ready(self, _key: selectors.SelectorKey, mask: int) -> None:
         """Go on with the socket."""
@@ -143,14 +133,14 @@
         """End the answer; the connection may take the next request."""
         self._write(self._http.send(h11.EndOfMessage()) or b"")
         self._is_finished = True
-        if not self._out:
+        if not self._output:
             self._go_on()
 
     def cut(self) -> None:
         """Close without the answer's end, once what was sent is through."""
         self._http.send_failed()
         self._is_finished = True
-        if not self._out:
+        if not self._output:
             self._go_on()
 
     def stop(self) -> None:
@@ -167,7 +157,8 @@
         self._clear_alarm()
         self._selector.unregister(self._sock)
         self._sock.close()
-        self._out.clear()
+        self._output.drop()
+        self._reader.drop()
         self._owner.on_closed(self)
 
     def _is_untouched(self) -> bool:
@@ -191,8 +182,8 @@
             self._set_alarm(self._cfg.head_deadline_s, self._on_slow)
         elif self.phase is Phase.HEAD and self._alarm is not None:
             self._alarm.replace(self._on_slow)
-        elif self.phase is Phase.ANSWERING:
-            self._bound_pipelined()
+        elif len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
+            self._on_end_of_input()
         self._advance()
 
     def _on_end_of_input(self) -> None:
@@ -200,100 +191,66 @@
             self._owner.on_gone(self)
         self.close()
 
-    def _bound_pipelined(self) -> None:
-        if len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
-            self._on_end_of_input()
-
     def _advance(self) -> None:
         """Take what the parser has; every fault of the caller ends here."""
         try:
             while self.phase in (Phase.HEAD, Phase.BODY) and self._take_next():
                 pass
-        except h11.RemoteProtocolError as exc:
-            self._refuse(_reason_of(exc), str(exc))
         except errors.BadRequestError as exc:
-            self._refuse(exc.reason, exc.detail)
+            self._refuse(exc)
 
     def _take_next(self) -> bool:
-        """Take one event; return whether there may be another."""
-        event = self._http.next_event()
-        if isinstance(event, h11.Request):
-            self._take_head(event)
-        elif isinstance(event, h11.Data):
-            self._take_body(event.data)
-        elif isinstance(event, h11.EndOfMessage):
+        """Take one step; return whether there may be another."""
+        step = self._reader.take_next()
+        if step is request_reader.Step.HEAD:
+            self._owner.on_head(self, self._reader.head)
+            self.phase = Phase.BODY
+            self._set_alarm(self._cfg.body_deadline_s, self._on_slow)
+        elif step is request_reader.Step.END:
             self._take_end()
-        elif isinstance(event, h11.ConnectionClosed):
+        elif step is request_reader.Step.CLOSED:
             self.close()
-        else:
+        elif step is request_reader.Step.MORE_NEEDED:
             self._invite_body()
             return False
         return True
 
-    def _take_head(self, event: h11.Request) -> None:
-        fields = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in event.headers.raw_items()
-        )
-        is_chunked = headers.find(fields, "transfer-encoding")
-        length = headers.find(fields, "content-length")
-        if is_chunked and length:
-            raise errors.BadRequestError(
-                outcomes.Reason.BAD_REQUEST, "the body has two lengths"
-            )
-        if length and int(length) > self._cfg.max_body_bytes:
-            self._raise_too_large()
-        target = event.target.decode("latin-1")
-        self._head = routes.read_head(event.method.decode(), target, fields)
-        self._owner.on_head(self, self._head)
-        self.phase = Phase.BODY
-        self._set_alarm(self._cfg.body_deadline_s, self._on_slow)
-
-    def _take_body(self, data: bytes) -> None:
-        if len(self._body) + len(data) > self._cfg.max_body_bytes:
-            self._raise_too_large()
-        self._body += data
-
-    def _raise_too_large(self) -> None:
-        detail = f"the body is over {self._cfg.max_body_bytes} bytes"
-        raise errors.BadRequestError(outcomes.Reason.TOO_LARGE, detail)
-
     def _take_end(self) -> None:
-        body, self._body = bytes(self._body), bytearray()
         self._clear_alarm()
         self.phase = Phase.ANSWERING
-        assert self._head is not None
-        self._owner.on_request(self, self._head, body)
+        received = self._reader.take_request()
+        try:
+            self._owner.on_request(self, received)
+        except errors.BadRequestError:
+            received.hold.release()
+            raise
 
     def _invite_body(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(go_on) or b"")
 
-    def _refuse(self, reason: outcomes.Reason, detail: str) -> None:
-        refusal = outcomes.Refusal(reason, outcomes.Outcome.NOT_RUN, detail)
+    def _refuse(self, exc: errors.BadRequestError) -> None:
+        outcome = refusals.outcome_of(self._reader.fields)
+        refusal = outcomes.Refusal(exc.reason, outcome, exc.detail, exc.retry_after_s)
+        self._reader.drop()
         self._clear_alarm()
         self._owner.on_bad_input(self, refusal)
 
-    def _on_silent(self) -> None:
-        self.close()
-
     def _on_slow(self) -> None:
         what = "head" if self.phase is Phase.HEAD else "body"
-        self._refuse(
-            outcomes.Reason.TOO_SLOW, f"the request's {what} did not come in time"
-        )
+        detail = f"the request's {what} did not come in time"
+        self._refuse(errors.BadRequestError(outcomes.Reason.TOO_SLOW, detail))
 
     def _go_on(self) -> None:
         """After an answer: the next request, or the end."""
         self._is_finished = False
-        if self._is_stopping or self._http.our_state is not h11.DONE:
-            self._linger()
-            return
-        if self._http.their_state is not h11.DONE:
+        states = {self._http.our_state, self._http.their_state}
+        if self._is_stopping or states != {h11.DONE}:
             self._linger()
             return
         self._http.start_next_cycle()
+        self._reader.begin_next()
         self.phase = Phase.IDLE
         self._set_alarm(self._cfg.idle_deadline_s, self.close)
         if self._http.trailing_data[0]:
@@ -312,54 +269,24 @@
         self._set_alarm(LINGER_S, self.close)
 
     def _write(self, data: bytes) -> None:
-        if self._out:
-            self._out += data
-            return
-        n_sent = self._send_some(data)
-        if n_sent < len(data):
-            self._out += data[n_sent:]
-            self._watch_writes(True)
-            self._set_alarm(self._cfg.idle_deadline_s, self._on_stuck)
-
-    def _send_some(self, data: bytes | bytearray) -> int:
-        if self._is_broken or self.phase is Phase.CLOSED:
-            return len(data)
-        try:
-            return self._sock.send(data)
-        except BlockingIOError:
-            return 0
-        except OSError:
-            # This may run inside a transfer's callback, where it can't be removed.
-            self._is_broken = True
-            self._alarms.at(time.monotonic(), self._on_end_of_input)
-            return len(data)
+        if self._output.write(data):
+            self._set_alarm(self._cfg.idle_deadline_s, self._on_end_of_input)
 
     def _flush(self) -> None:
         was_full = self.is_full
-        n_sent = self._send_some(self._out)
-        del self._out[:n_sent]
-        if n_sent:
-            self._set_alarm(self._cfg.idle_deadline_s, self._on_stuck)
-        if not self._out:
+        if self._output.flush():
+            self._set_alarm(self._cfg.idle_deadline_s, self._on_end_of_input)
+        if not self._output:
             self._clear_alarm()
-            self._watch_writes(False)
             if self._is_finished:
                 self._go_on()
                 return
         if was_full and not self.is_full:
             self._owner.on_drained(self)
 
-    def _on_stuck(self) -> None:
-        self._on_end_of_input()
-
-    def _watch_writes(self, is_wanted: bool) -> None:
-        if is_wanted == self._is_watching_writes or self.phase is Phase.CLOSED:
-            return
-        self._is_watching_writes = is_wanted
-        mask = selectors.EVENT_READ
-        if is_wanted:
-            mask |= selectors.EVENT_WRITE
-        self._selector.modify(self._sock, mask, self)
+    def _on_broken(self) -> None:
+        # This may run inside a transfer's callback, where it can't be removed.
+        self._alarms.at(time.monotonic(), self._on_end_of_input)
 
     def _set_alarm(self, after_s: float, action: timers.Action) -> None:
         self._clear_alarm()
@@ -369,9 +296,3 @@
         if self._alarm is not None:
             self._alarm.cancel()
             self._alarm = None
-
-
-def _reason_of(exc: h11.RemoteProtocolError) -> outcomes.Reason:
-    if exc.error_status_hint == HEAD_TOO_LARGE:
-        return outcomes.Reason.TOO_LARGE
-    return outcomes.Reason.BAD_REQUEST
--- a/packages/transport/bilberryridge/transport/edge.py
+++ b/packages/transport/bilberryridge/transport/edge.py
@@ -21,9 +21,12 @@
 from bilberryridge.decisions import effects, events
 from bilberryridge.transport import (
     connection,
+    errors,
     exchanges,
     limits,
+    listener,
     metrics,
+    request_reader,
     routes,
     settings,
     timers,
@@ -33,10 +36,9 @@
 EdgeSettings = settings.EdgeSettings
 
 LONGEST_WAIT_S = 1.0
-BACKLOG = 1024
-MAX_ACCEPTS_AT_ONCE = 64
 ACCEPT_PAUSE_S = 0.2
 MAX_REFUSED_CONNECTIONS = 64
+REFUSED_HEAD_DEADLINE_S = 1.0
 FULL_RETRY_S = 1.0
 
 
@@ -67,6 +69,10 @@
         counters: metrics.Metrics,
     ):
         self._cfg = cfg
+        self._cfg_of_refused = attrs.evolve(
+            cfg, head_deadline_s=min(cfg.head_deadline_s, REFUSED_HEAD_DEADLINE_S)
+        )
+        self._bodies = limits.ByteLimit(cfg.max_bodies_bytes)
         self._inbox = inbox
         self._selector = selector
         self._pool = pool
@@ -83,7 +89,7 @@
         self._conns: set[connection.Connection] = set()
         self._unlimited: set[connection.Connection] = set()
         self._listeners = [
-            _Listener(sock, is_relay, self)
+            listener.Listener(sock, is_relay, self)
             for sock, is_relay in zip(listeners, (False, True), strict=True)
         ]
         self._closing_at_s: float | None = None
@@ -105,8 +111,8 @@
     def run(self) -> None:
         """Serve until closed."""
         self._inbox.register(self._selector)
-        for listener in self._listeners:
-            self._selector.register(listener.sock, selectors.EVENT_READ, listener)
+        for source in self._listeners:
+            self._selector.register(source.sock, selectors.EVENT_READ, source)
         try:
             while not self._is_over():
                 self._run_once()
@@ -127,34 +133,40 @@
             sock,
             address,
             is_relay,
-            self._cfg,
+            self._cfg_of_refused if refusal else self._cfg,
             self._selector,
             self._alarms,
+            self._bodies,
             self,
         )
         self._conns.add(conn)
         if refusal:
             self._unlimited.add(conn)
-            self._exchanges.on_bad_input(conn, _full())
 
-    def pause_accepting(self, listener: "_Listener") -> None:
+    def pause_accepting(self, source: listener.Listener) -> None:
         """Leave new connections waiting for a moment: no descriptor is left."""
         self._counters.count("edge_accept_paused")
-        self._selector.unregister(listener.sock)
+        self._selector.unregister(source.sock)
         at_s = time.monotonic() + ACCEPT_PAUSE_S
-        self._alarms.at(at_s, lambda: self._accept_again(listener))
+        self._alarms.at(at_s, lambda: self._accept_again(source))
 
     # What connections say.
 
     def on_head(self, conn: connection.Connection, head: routes.Head) -> None:
-        """See `connection.Owner`."""
+        """See `connection.Owner`; a connection over the limit is refused here.
+
+        What may be said of the request depends on its head.
+        """
+        if conn in self._unlimited:
+            reason, detail = outcomes.Reason.BUSY, "too many connections are open"
+            raise errors.BadRequestError(reason, detail, FULL_RETRY_S)
         self._exchanges.on_head(conn, head)
 
     def on_request(
-        self, conn: connection.Connection, head: routes.Head, body: bytes
+        self, conn: connection.Connection, received: request_reader.Received
     ) -> None:
         """See `connection.Owner`."""
-        self._exchanges.on_request(conn, head, body)
+        self._exchanges.on_request(conn, received)
 
     def on_bad_input(
         self, conn: connection.Connection, refusal: outcomes.Refusal
@@ -216,49 +228,14 @@
             return True
         return not any(conn.has_output for conn in self._conns)
 
-    def _accept_again(self, listener: "_Listener") -> None:
-        if listener in self._listeners:
-            self._selector.register(listener.sock, selectors.EVENT_READ, listener)
+    def _accept_again(self, source: listener.Listener) -> None:
+        if source in self._listeners:
+            self._selector.register(source.sock, selectors.EVENT_READ, source)
 
     def _close_listeners(self) -> None:
         listeners, self._listeners = self._listeners, []
-        for listener in listeners:
-            listener.close(self._selector)
-
-
-class _Listener:
-    """A listening socket of the task."""
-
-    def __init__(self, sock: socket.socket, is_relay: bool, owner: Edge):
-        self.sock = sock
-        self._is_relay = is_relay
-        self._owner = owner
-
-    def on_ready(self, _key: selectors.SelectorKey, _mask: int) -> None:
-        """Accept what is waiting."""
-        for _ in range(MAX_ACCEPTS_AT_ONCE):
-            try:
-                sock, address = self.sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
-            except OSError:
-                self._owner.pause_accepting(self)
-                return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._owner.on_accepted(sock, address[0], self._is_relay)
-
-    def close(self, selector: selectors.BaseSelector) -> None:
-        """Stop listening."""
-        with contextlib.suppress(KeyError):
-            selector.unregister(self.sock)
-        self.sock.close()
-
-
-def _full() -> outcomes.Refusal:
-    detail = "too many connections are open"
-    reason, outcome = outcomes.Reason.BUSY, outcomes.Outcome.NOT_RUN
-    return outcomes.Refusal(reason, outcome, detail, FULL_RETRY_S)
+        for source in listeners:
+            source.close(self._selector)
 
 
 @contextlib.contextmanager
@@ -283,16 +260,10 @@
     """
     with contextlib.ExitStack() as stack:
         listeners = (
-            stack.enter_context(_listen(cfg.caller_address)),
-            stack.enter_context(_listen(cfg.relay_address)),
+            stack.enter_context(listener.listen(cfg.caller_address)),
+            stack.enter_context(listener.listen(cfg.relay_address)),
         )
         inbox = stack.enter_context(mailbox.open_mailbox())
         selector = stack.enter_context(selectors.DefaultSelector())
         pool = stack.enter_context(transfers.open_transfers(selector))
         yield Edge(cfg, listeners, inbox, selector, pool, post, counters)
-
-
-def _listen(address: settings.Address) -> socket.socket:
-    sock = socket.create_server(address, backlog=BACKLOG)
-    sock.setblocking(False)
-    return sock
--- a/packages/transport/bilberryridge/transport/errors.py
+++ b/packages/transport/bilberryridge/transport/errors.py
@@ -15,12 +15,20 @@
     reason : outcomes.Reason
     detail : str
         One sentence for the caller's developer.
+    retry_after_s : float or None
+        When to come back, where that may help.
     """
 
-    def __init__(self, reason: outcomes.Reason, detail: str):
+    def __init__(
+        self,
+        reason: outcomes.Reason,
+        detail: str,
+        retry_after_s: float | None = None,
+    ):
         super().__init__(detail)
         self.reason = reason
         self.detail = detail
+        self.retry_after_s = retry_after_s
 
 
 class CallerClosedError(TransportError):
--- a/packages/transport/bilberryridge/transport/exchange.py
+++ b/packages/transport/bilberryridge/transport/exchange.py
@@ -4,7 +4,7 @@
 
 from bilberryridge.core import outcomes, requests
 from bilberryridge.decisions import events
-from bilberryridge.transport import connection, headers, problems, routes
+from bilberryridge.transport import connection, headers, limits, problems, routes
 
 if TYPE_CHECKING:
     from bilberryridge.transport import attempt
@@ -20,14 +20,15 @@
     request_id : str
     conn : connection.Connection
     head : routes.Head
-    trace_parent : str
+    hold : limits.Hold or None
+        The body's part of the limit.
 
     Attributes
     ----------
     req : requests.Request or None
         None for what the node answers itself.
     body : bytes
-        As it goes on to the other side; dropped once no attempt can follow.
+        As it goes on to the other side; dropped at the end.
     attempt : attempt.Attempt or None
         The one that is running.
     held : events.StoredAnswer or None
@@ -38,12 +39,19 @@
         Whether the caller left.
     """
 
-    def __init__(self, request_id: str, conn: connection.Connection, head: routes.Head):
+    def __init__(
+        self,
+        request_id: str,
+        conn: connection.Connection,
+        head: routes.Head,
+        hold: limits.Hold | None = None,
+    ):
         self.request_id = request_id
         self.conn = conn
         self.head = head
         self.req: requests.Request | None = None
         self.body = b""
+        self._hold = hold
         self.attempt: attempt.Attempt | None = None
         self.held: events.StoredAnswer | None = None
         self.is_committed = False
@@ -64,10 +72,15 @@
         """Whether the caller reads too slowly to take more now."""
         return not self.is_gone and self.conn.is_full
 
+    def drop_body(self) -> None:
+        """Drop the request's body: no attempt runs or follows."""
+        self.body = b""
+        if self._hold is not None:
+            self._hold.release()
+
     def begin(self, status: int, fields: headers.Fields) -> None:
         """Commit to an answer whose length is not known here."""
         self.is_committed = True
-        self.body = b""
         if not self.is_gone:
             self.conn.start_answer(status, (*fields, *self._own_fields()))
 
--- a/packages/transport/bilberryridge/transport/exchanges.py
+++ b/packages/transport/bilberryridge/transport/exchanges.py
@@ -1,6 +1,5 @@
 """The table of open requests: callers on one side, the node's effects on the other."""
 
-import re
 import secrets
 from collections.abc import Callable
 
@@ -9,12 +8,13 @@
 from bilberryridge.transport import (
     attempt,
     connection,
-    envelope,
     errors,
     exchange,
     headers,
     metrics,
-    outgoing,
+    orders,
+    relay_proof,
+    request_reader,
     routes,
     settings,
     timers,
@@ -23,7 +23,6 @@
 
 REQUEST_ID_BYTES = 16
 BUSY_RETRY_S = 1.0
-_REQUEST_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
 _RESULT = events.AttemptResult
 
 
@@ -76,18 +75,19 @@
 
     def on_head(self, conn: connection.Connection, head: routes.Head) -> None:
         """Refuse a relayed request without a proof before its body is read."""
-        if conn.is_relay and not headers.find(head.fields, headers.ENVELOPE_MAC):
-            raise _unproven()
+        if conn.is_relay:
+            relay_proof.check_head(head)
 
     def on_request(
-        self, conn: connection.Connection, head: routes.Head, body: bytes
+        self, conn: connection.Connection, received: request_reader.Received
     ) -> None:
         """Open an exchange and tell the node."""
+        head, body = received.head, received.body
         if conn.is_relay:
-            request_id, sent = self._prove(head, body)
+            request_id, sent = relay_proof.read(self._cfg.shared_key, head, body)
         else:
             request_id, sent = secrets.token_hex(REQUEST_ID_BYTES), None
-        ex = exchange.Exchange(request_id, conn, head)
+        ex = exchange.Exchange(request_id, conn, head, received.hold)
         self._by_conn[conn] = ex
         if request_id in self._open:
             self._refuse_twin(ex)
@@ -147,7 +147,7 @@
         ex.held = None
         ex.attempt = attempt.Attempt(
             effect,
-            self._order_of(effect, ex),
+            orders.order_of(effect, ex, self._cfg.shared_key),
             ex,
             self._cfg.max_held_bytes,
             self._pool,
@@ -248,73 +248,13 @@
             raise
         self._post(events.RequestArrived(ex.req))
 
-    def _prove(self, head: routes.Head, body: bytes) -> tuple[str, requests.Envelope]:
-        """Check that a daemon of the deployment sent the request."""
-        encoded = headers.find(head.fields, headers.ENVELOPE)
-        request_id = headers.find(head.fields, headers.REQUEST_ID)
-        given = headers.find(head.fields, headers.ENVELOPE_MAC)
-        expected = envelope.mac(
-            self._cfg.shared_key, encoded, request_id, head.method, head.target, body
-        )
-        is_proven = envelope.is_proven(given, expected)
-        if not is_proven or not _REQUEST_ID.fullmatch(request_id):
-            raise _unproven()
-        try:
-            return request_id, envelope.decode(encoded)
-        except errors.EnvelopeError as exc:
-            reason = outcomes.Reason.BAD_REQUEST
-            raise errors.BadRequestError(reason, str(exc)) from exc
-
     def _refuse_twin(self, ex: exchange.Exchange) -> None:
         """Refuse a request whose id is open here already, without touching that one."""
         self._counters.count("edge_twins_refused")
         reason, outcome = outcomes.Reason.BUSY, outcomes.Outcome.UNKNOWN
         detail = "a request with this id is open here"
         ex.refuse(outcomes.Refusal(reason, outcome, detail, BUSY_RETRY_S))
-        self._by_conn.pop(ex.conn, None)
-
-    def _order_of(
-        self, effect: effects.SendAttempt, ex: exchange.Exchange
-    ) -> outgoing.Outgoing:
-        assert ex.req is not None
-        fields = headers.of_request(ex.head.fields)
-        if ex.is_model:
-            # Events of a stream must be readable on their way.
-            fields = headers.without(fields, "accept-encoding")
-        fields = (
-            *fields,
-            (headers.REQUEST_ID, ex.request_id),
-            (headers.TRACE_PARENT, effect.trace_parent or ex.req.trace_parent),
-        )
-        target = ex.req.path
-        if effect.envelope is not None:
-            target = ex.head.target
-            fields = (*fields, *self._proof_of(effect.envelope, ex))
-        return outgoing.Outgoing(
-            address=effect.address,
-            method=ex.head.method,
-            target=target,
-            fields=fields,
-            body=ex.body,
-            deadline_s=effect.deadline_s,
-            first_byte_deadline_s=effect.first_byte_deadline_s,
-            is_once=effect.is_once,
-        )
-
-    def _proof_of(
-        self, sent: requests.Envelope, ex: exchange.Exchange
-    ) -> headers.Fields:
-        encoded = envelope.encode(sent)
-        head = ex.head
-        code = envelope.mac(
-            self._cfg.shared_key,
-            encoded,
-            ex.request_id,
-            head.method,
-            head.target,
-            ex.body,
-        )
-        return ((headers.ENVELOPE, encoded), (headers.ENVELOPE_MAC, code))
+        self._forget(ex)
 
     def _end_unanswered(
         self, effect: effects.SendAttempt, result: events.AttemptResult
@@ -322,12 +262,8 @@
         self._post(events.AttemptEnded(effect.request_id, effect.attempt, result))
 
     def _forget(self, ex: exchange.Exchange) -> None:
+        ex.drop_body()
         if self._open.get(ex.request_id) is ex:
             del self._open[ex.request_id]
         if self._by_conn.get(ex.conn) is ex:
             del self._by_conn[ex.conn]
-
-
-def _unproven() -> errors.BadRequestError:
-    detail = "only daemons of this deployment may ask here"
-    return errors.BadRequestError(outcomes.Reason.UNAUTHENTICATED, detail)
--- a/packages/transport/bilberryridge/transport/limits.py
+++ b/packages/transport/bilberryridge/transport/limits.py
@@ -1,4 +1,4 @@
-"""How many connections callers may hold."""
+"""How many connections callers may hold, and how many bytes of their requests."""
 
 import collections
 
@@ -42,3 +42,52 @@
         self._n_by_address[address] -= 1
         if self._n_by_address[address] <= 0:
             del self._n_by_address[address]
+
+
+class ByteLimit:
+    """Bytes that many holders may hold together.
+
+    Parameters
+    ----------
+    max_bytes : int
+    """
+
+    def __init__(self, max_bytes: int):
+        self.max_bytes = max_bytes
+        self.n_bytes = 0
+
+
+class Hold:
+    """One holder's part of a limit.
+
+    Parameters
+    ----------
+    limit : ByteLimit
+
+    Examples
+    --------
+    >>> limit = ByteLimit(10)
+    >>> first, second = Hold(limit), Hold(limit)
+    >>> first.grow(6), second.grow(6)
+    (True, False)
+    >>> first.release()
+    >>> second.grow(6), limit.n_bytes
+    (True, 6)
+    """
+
+    def __init__(self, limit: ByteLimit):
+        self._limit = limit
+        self._n_bytes = 0
+
+    def grow(self, n_bytes: int) -> bool:
+        """Take so many bytes more, if the limit allows it."""
+        if self._limit.n_bytes + n_bytes > self._limit.max_bytes:
+            return False
+        self._limit.n_bytes += n_bytes
+        self._n_bytes += n_bytes
+        return True
+
+    def release(self) -> None:
+        """Give everything back; may be called again."""
+        self._limit.n_bytes -= self._n_bytes
+        self._n_bytes = 0
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/orders.py
@@ -0,0 +1,45 @@
+"""What goes out for an attempt, from the caller's request and the node's word."""
+
+from bilberryridge.decisions import effects
+from bilberryridge.transport import exchange, headers, outgoing, relay_proof
+
+
+def order_of(
+    effect: effects.SendAttempt, ex: exchange.Exchange, shared_key: bytes
+) -> outgoing.Outgoing:
+    """Make the request for the other side.
+
+    Parameters
+    ----------
+    effect : effects.SendAttempt
+    ex : exchange.Exchange
+    shared_key : bytes
+        Proves the request to another daemon.
+    """
+    assert ex.req is not None
+    fields = headers.of_request(ex.head.fields)
+    if ex.is_model:
+        # Events of a stream must be readable on their way.
+        fields = headers.without(fields, "accept-encoding")
+    fields = (
+        *fields,
+        (headers.REQUEST_ID, ex.request_id),
+        (headers.TRACE_PARENT, effect.trace_parent or ex.req.trace_parent),
+    )
+    target = ex.req.path
+    if effect.envelope is not None:
+        target = ex.head.target
+        proof = relay_proof.fields_of(
+            shared_key, effect.envelope, ex.request_id, ex.head, ex.body
+        )
+        fields = (*fields, *proof)
+    return outgoing.Outgoing(
+        address=effect.address,
+        method=ex.head.method,
+        target=target,
+        fields=fields,
+        body=ex.body,
+        deadline_s=effect.deadline_s,
+        first_byte_deadline_s=effect.first_byte_deadline_s,
+        is_once=effect.is_once,
+    )
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/request_reader.py
@@ -0,0 +1,148 @@
+"""From the bytes of a caller's connection to whole requests within the limits."""
+
+import enum
+
+import attrs
+import h11
+
+from bilberryridge.core import outcomes
+from bilberryridge.transport import errors, headers, limits, routes, settings
+
+BUSY_RETRY_S = 1.0
+BAD_REQUEST = outcomes.Reason.BAD_REQUEST
+HEAD_TOO_LARGE = 431
+
+
+class Step(enum.Enum):
+    """What the next bytes were."""
+
+    HEAD = "head"
+    BODY = "body"
+    END = "end"
+    CLOSED = "closed"
+    MORE_NEEDED = "more needed"
+
+
+@attrs.frozen
+class Received:
+    """A whole request.
+
+    Parameters
+    ----------
+    head : routes.Head
+    body : bytes
+    hold : limits.Hold
+        The body's part of the limit; whoever takes the request releases it.
+    """
+
+    head: routes.Head
+    body: bytes
+    hold: limits.Hold
+
+
+class RequestReader:
+    """Reads one request after the other.
+
+    Parameters
+    ----------
+    http : h11.Connection
+        The connection's parser; the answers go through it too.
+    cfg : settings.EdgeSettings
+    bodies : limits.ByteLimit
+        Of all request bodies together.
+
+    Attributes
+    ----------
+    fields : tuple of (str, str) or None
+        Of the last head that could be read.
+    """
+
+    def __init__(
+        self,
+        http: h11.Connection,
+        cfg: settings.EdgeSettings,
+        bodies: limits.ByteLimit,
+    ):
+        self.fields: headers.Fields | None = None
+        self._http = http
+        self._cfg = cfg
+        self._bodies = bodies
+        self._head: routes.Head | None = None
+        self._body = bytearray()
+        self._hold = limits.Hold(bodies)
+
+    @property
+    def head(self) -> routes.Head:
+        """The head of the request that is being read."""
+        assert self._head is not None
+        return self._head
+
+    def take_next(self) -> Step:
+        """Take what the parser has next.
+
+        Raises
+        ------
+        errors.BadRequestError
+        """
+        event = self._next_event()
+        if isinstance(event, h11.Request):
+            self._take_head(event)
+            return Step.HEAD
+        if isinstance(event, h11.Data):
+            self._take_body(event.data)
+            return Step.BODY
+        if isinstance(event, h11.EndOfMessage):
+            return Step.END
+        if isinstance(event, h11.ConnectionClosed):
+            return Step.CLOSED
+        return Step.MORE_NEEDED
+
+    def take_request(self) -> Received:
+        """Hand the whole request over, after its end."""
+        received = Received(self.head, bytes(self._body), self._hold)
+        self._body = bytearray()
+        self._hold = limits.Hold(self._bodies)
+        return received
+
+    def begin_next(self) -> None:
+        """Forget the last request."""
+        self.fields = self._head = None
+
+    def drop(self) -> None:
+        """Drop the body that is being read."""
+        self._body = bytearray()
+        self._hold.release()
+
+    def _next_event(self) -> object:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as exc:
+            is_large = exc.error_status_hint == HEAD_TOO_LARGE
+            reason = outcomes.Reason.TOO_LARGE if is_large else BAD_REQUEST
+            raise errors.BadRequestError(reason, str(exc)) from exc
+
+    def _take_head(self, event: h11.Request) -> None:
+        fields = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers.raw_items()
+        )
+        self.fields = fields
+        length = headers.find(fields, "content-length")
+        if headers.find(fields, "transfer-encoding") and length:
+            raise errors.BadRequestError(BAD_REQUEST, "the body has two lengths")
+        if length and int(length) > self._cfg.max_body_bytes:
+            raise self._too_large()
+        target = event.target.decode("latin-1")
+        self._head = routes.read_head(event.method.decode(), target, fields)
+
+    def _take_body(self, data: bytes) -> None:
+        if len(self._body) + len(data) > self._cfg.max_body_bytes:
+            raise self._too_large()
+        if not self._hold.grow(len(data)):
+            detail = "too many requests are held at once"
+            raise errors.BadRequestError(outcomes.Reason.BUSY, detail, BUSY_RETRY_S)
+        self._body += data
+
+    def _too_large(self) -> errors.BadRequestError:
+        detail = f"the body is over {self._cfg.max_body_bytes} bytes"
+        return errors.BadRequestError(outcomes.Reason.TOO_LARGE, detail)
--- a/packages/transport/bilberryridge/transport/settings.py
+++ b/packages/transport/bilberryridge/transport/settings.py
@@ -20,6 +20,8 @@
         Proves requests between the daemons of the deployment.
     max_head_bytes, max_body_bytes : int
         Of a caller's request.
+    max_bodies_bytes : int
+        Of all requests that are open, together.
     head_deadline_s, body_deadline_s : float
         Time for a whole head, and for the body after it.
     idle_deadline_s : float
@@ -40,6 +42,7 @@
     shared_key: bytes = attrs.field(repr=False)
     max_head_bytes: int = 32_768
     max_body_bytes: int = 8 << 20
+    max_bodies_bytes: int = 64 << 20
     head_deadline_s: float = 10.0
     body_deadline_s: float = 30.0
     idle_deadline_s: float = 60.0
--- a/packages/transport/bilberryridge/transport/tests/rig.py
+++ b/packages/transport/bilberryridge/transport/tests/rig.py
@@ -190,3 +190,13 @@
             task.close()
             task.close()
             running.result(GENEROUS_S)
+
+
+def wait_until(is_true) -> None:
+    """Wait for a condition that another thread brings about."""
+    waiting = threading.Event()
+    for _ in range(int(GENEROUS_S * 100)):
+        if is_true():
+            return
+        waiting.wait(0.01)
+    raise AssertionError("the condition did not come about")
