--- a/packages/standins/bilberryridge/standins/stream_load.py
+++ b/packages/standins/bilberryridge/standins/stream_load.py
@@ -59,6 +59,12 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def run_queue_s(pid: int) -> float:
+    """Time that a process was ready and had to wait for a core, all threads."""
+    threads = pathlib.Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[1]) for path in threads) / 1e9
+
+
 def rss_bytes(pid: int) -> int:
     """Resident memory of a process."""
     n_pages = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1])
@@ -106,15 +112,17 @@
             _wait_ready(process)
         readers = [start("stream_reader", x, *span) for x in (direct, callers)]
         _wait_until(from_s)
-        before_s = cpu_s(edge.pid)
+        before_s, queued_before_s = cpu_s(edge.pid), run_queue_s(edge.pid)
         _wait_until(until_s)
         used_s = cpu_s(edge.pid) - before_s
+        queued_s = run_queue_s(edge.pid) - queued_before_s
         resident = rss_bytes(edge.pid)
         straight, through = (_result_of(reader) for reader in readers)
     return {
         "seconds": seconds,
         "edge_cpu_s": round(used_s, 2),
         "edge_core_share": round(used_s / seconds, 3),
+        "edge_run_queue_s": round(queued_s, 3),
         "edge_rss_mib": round(resident / MIB, 1),
         "added_p99_ms": _added(straight, through, "latency_ms", "p99"),
         "added_gap_p95_ms": _added(straight, through, "gap_at_caller_ms", "p95"),
