--- a/packages/standins/bilberryridge/standins/etcd.py
+++ b/packages/standins/bilberryridge/standins/etcd.py
@@ -62,6 +62,7 @@
     range_end: bytes = b""
     limit: int = 0
     count_only: bool = False
+    is_newest_first: bool = False
 
 
 Operation = Put | Delete | Range
@@ -192,6 +193,8 @@
                 gone = KeyValue(kv.key, None, 0, self.revision + 1, 0)
                 self._write(gone, written)
             return Found(tuple(kvs), len(kvs))
+        if op.is_newest_first:
+            kvs.sort(key=lambda kv: kv.mod_revision, reverse=True)
         shown = [] if op.count_only else kvs[: op.limit or None]
         return Found(tuple(shown), len(kvs))
 
--- a/packages/standins/bilberryridge/standins/etcd_json.py
+++ b/packages/standins/bilberryridge/standins/etcd_json.py
@@ -61,11 +61,15 @@
 
 def read(body: dict) -> etcd.Range:
     """Read a range request."""
+    sorting = body.get("sort_order", "NONE"), body.get("sort_target", "KEY")
+    if sorting not in SORTINGS:
+        raise ValueError(f"no sorting {sorting}")
     return etcd.Range(
         to_bytes(body["key"]),
         to_bytes(body.get("range_end")),
         int(body.get("limit", 0)),
         bool(body.get("count_only", False)),
+        SORTINGS[sorting],
     )
 
 
@@ -74,6 +78,9 @@
     "request_range": read,
     "request_delete_range": delete,
 }
+SORTINGS = {("NONE", "KEY"): False, ("DESCEND", "MOD"): True}
+"""Whether the newest goes first, by order and target."""
+
 WANTED_FIELDS = {
     "MOD": "mod_revision",
     "CREATE": "create_revision",
--- a/packages/standins/bilberryridge/standins/tests/test_platform_server.py
+++ b/packages/standins/bilberryridge/standins/tests/test_platform_server.py
@@ -61,6 +61,11 @@
         assert found["header"]["revision"] == "4"
         only = (await post(address, "/v3/kv/range", wanted | {"count_only": 1})).json()
         assert "kvs" not in only
+        sorting = {"sort_order": "DESCEND", "sort_target": "MOD"}
+        newest = (await post(address, "/v3/kv/range", wanted | sorting)).json()
+        assert newest["kvs"][0]["key"] == b64("d/b")
+        sorting = {"sort_order": "ASCEND", "sort_target": "VERSION"}
+        assert (await post(address, "/v3/kv/range", wanted | sorting)).status == 400
 
     with_store(scenario)
 
