Decisions: the owner's refusal of a relayed key does not say that nothing ran

Cause: an owner that refused a relayed try (409 in progress, 422 reused) said not_run, as it took every request of a peer for one whose key the sender owns; that holds of forwards only. Seen by the scenarios booking-answer-lost and booking-store-faults, whose audit counted a run under the key at the fake. After: both pass.

--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -112,7 +112,9 @@
         Without ownership of its key nothing is known of earlier tries.
         """
         is_key_of_another = bool(self.req.idempotency_key) and not self.scope
-        if self.n_sent or (is_key_of_another and not self.is_from_peer):
+        envelope = self.req.envelope
+        is_owned_by_sender = envelope is not None and not envelope.is_relay
+        if self.n_sent or (is_key_of_another and not is_owned_by_sender):
             return outcomes.Outcome.UNKNOWN
         return outcomes.Outcome.NOT_RUN
 
