Decisions: a store that has caught up after an older state is trusted again

Cause: after a restore the watch goes on from the older revision, each of its events is refused, and nothing asked for the whole read that alone can end the suspicion; so no change came into force any more. Now each refused event starts the watch again, and its check reads the whole. Scenario store-older-state: not within 10 s before, passes after.

--- a/packages/decisions/bilberryridge/decisions/configuration_flow.py
+++ b/packages/decisions/bilberryridge/decisions/configuration_flow.py
@@ -23,6 +23,9 @@
         if not st.is_store_suspect:
             st.changed("store", "configuration", "trusted", f"refused: {exc}")
         st.is_store_suspect = True
+        if event.after_revision:
+            # Only a whole read, at the next tick, shows that the store lacks nothing.
+            _watch(st, is_wanted=False)
         return
     except replica.GapError:
         st.count("configuration_gaps")
