Decisions: other domains are asked before a dead server, and waits are bounded

Four faults that scenarios showed: - residency: a domain whose only server refused connections tried it three times and gave up while the other domain had room. The prior fades as evidence comes in. - both-full: answers that began just before the deadline were cut off at it; a request that can't be done in time is now given up as not run.

--- a/packages/decisions/bilberryridge/decisions/fair_queue.py
+++ b/packages/decisions/bilberryridge/decisions/fair_queue.py
@@ -23,6 +23,8 @@
 RATE_WINDOW_S = 3.0
 PRIOR_TIME_S = 0.5
 PRIOR_WAIT_S = 1.0
+PRIOR_FADES_S = 1.0
+LEAST_PRIOR_TIME_S = 0.1
 OVER_SHARE_RATIO = 1.1
 MAX_ORGANISATIONS = 4096
 
@@ -207,9 +209,10 @@
             ahead += self._classes[0].backlog
         if ahead <= 0.0:
             return 0.0
-        prior = PRIOR_TIME_S * ahead / PRIOR_WAIT_S
+        prior_time_s = self._prior_time_s()
+        prior = prior_time_s * ahead / PRIOR_WAIT_S
         served = self._served_of(priority)
-        rate = (served + prior) / (self._blocked_time_s + PRIOR_TIME_S)
+        rate = (served + prior) / (self._blocked_time_s + prior_time_s)
         return ahead / rate
 
     def is_over_share(self, now_s: float, organisation: str, weight: float) -> bool:
@@ -230,6 +233,13 @@
             return max(total - quick, LONG_FLOOR * total)
         return total * (1.0 - LONG_FLOOR) if self._classes[1].n_waiting else total
 
+    def _prior_time_s(self) -> float:
+        # The prior grows with the backlog, so beside a whole window of evidence it
+        # would hide how far the backlog has outgrown the servers.
+        unknown_s = RATE_WINDOW_S - self._blocked_time_s
+        share = min(unknown_s / PRIOR_FADES_S, 1.0)
+        return max(PRIOR_TIME_S * share, LEAST_PRIOR_TIME_S)
+
     def _insert(self, entry: Entry, share: _Share) -> None:
         index = entry.item.priority.value
         one = self._classes[index]
--- a/packages/decisions/bilberryridge/decisions/loads.py
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -241,5 +241,6 @@
     def _eject(self, now_s: float, state: server_state.Server) -> None:
         servers = self._pools[state.pool].servers.values()
         n_ejected = sum(other.health.is_ejected(now_s) for other in servers)
-        if n_ejected + 1 <= MAX_EJECTED_SHARE * len(servers):
+        # Without its one server a domain still has the other domains.
+        if n_ejected + 1 <= max(1.0, MAX_EJECTED_SHARE * len(servers)):
             state.health.eject(now_s, self._random_state)
--- a/packages/decisions/bilberryridge/decisions/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/request_flow.py
@@ -24,6 +24,8 @@
 EXPECTED_TOKENS_PER_S = 25.0
 """Of one stream."""
 LEAST_WORK_S = 0.05
+WORK_MARGIN = 2.0
+"""For a server's own queue, and as the work is only estimated."""
 MAX_WORK_SHARE = 0.25
 """Of the service's deadline."""
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -252,7 +254,8 @@
         organisation=open_req.organisation.name,
         weight=open_req.organisation.weight,
         priority=req.priority,
-        deadline_s=open_req.deadline_s,
+        # An answer that begins later would be cut off at its deadline.
+        deadline_s=open_req.deadline_s - WORK_MARGIN * work_s,
         cost=work_s,
     )
 
@@ -309,10 +312,26 @@
         for c in candidates(st, open_req.service.name)
         if st.members.takes_new_work(now_s, c.vm)
     ]
-    excluded = open_req.excluded
-    if servers and all(c.vm.name in excluded for c in servers):
-        # Every server was tried: the first one again beats none.
-        excluded = excluded - {c.vm.name for c in servers}
+    choice = _choose_among(st, now_s, open_req, servers, open_req.excluded)
+    tried = {c.vm.name for c in servers} & open_req.excluded
+    if choice is None and tried and len(tried) == len(servers):
+        # Every server and domain was tried: the first one again beats none.
+        excluded = open_req.excluded - tried
+        return _choose_among(st, now_s, open_req, servers, excluded)
+    return choice
+
+
+def _choose_among(
+    st: state.State,
+    now_s: float,
+    open_req: state.Open,
+    servers: list[placement.Candidate],
+    excluded: frozenset[str],
+) -> placement.Choice | None:
+    # The queue's expectation knows nothing of the slots that the first one waits for;
+    # who has waited long goes elsewhere.
+    wait_s = st.admission.expected_wait_s(now_s, open_req.service.name)
+    wait_s = max(wait_s, now_s - open_req.arrived_s)
     return placement.choose(
         now_s,
         open_req.req,
@@ -328,7 +347,7 @@
         allowed_regions=st.deployment.allowed_regions(
             open_req.service, open_req.organisation
         ),
-        queue_wait_s=st.admission.expected_wait_s(now_s, open_req.service.name),
+        queue_wait_s=wait_s,
     )
 
 
