--- a/packages/standins/bilberryridge/standins/fleet.py
+++ b/packages/standins/bilberryridge/standins/fleet.py
@@ -138,6 +138,15 @@
         answer = await caller.send(req)
         return answer.json() if answer.status == 200 else None
 
+    async def explain(self, request_id: str) -> list[tuple[float, str, str, str]]:
+        """Return a request's steps at all daemons as (time, VM, step, why)."""
+        steps = []
+        for vm in self.plan.entry_vms():
+            found = await self.ask_operators(vm.name, f"/v1/explain/{request_id}")
+            for step in (found or {}).get("steps", []):
+                steps.append((step["time_s"], vm.name, step["step"], step["why"]))
+        return sorted(steps)
+
     async def put_documents(self, docs: list[documents.Document]) -> None:
         """Change documents in one transaction at the store."""
         puts = [
--- a/packages/standins/bilberryridge/standins/fleet_actions.py
+++ b/packages/standins/bilberryridge/standins/fleet_actions.py
@@ -1,6 +1,8 @@
 """Steps of scenarios that act on processes, the network, the platform and documents."""
 
+import asyncio
 import functools
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -25,6 +27,7 @@
         self._documents = {
             fleet.document_key(doc): doc for doc in running.plan.all_documents()
         }
+        self._highest = 0
 
     async def start(self, names: Any) -> None:
         """Start daemons, ``all`` or a list; wait until they serve and know peers."""
@@ -63,7 +66,7 @@
         """Put a new daemon in place of `vm`, with `seeds`; do not wait."""
         await self._running.replace(fields["vm"], tuple(fields.get("seeds", ())))
 
-    async def serving(self, names: list[str]) -> None:
+    async def serving(self, names: Sequence[str]) -> None:
         """Wait until daemons serve with all documents in force."""
         for name in names:
             await self._running.wait_serving(name)
@@ -130,6 +133,26 @@
         encoding.from_json(kind, encoding.to_json(changed))
         self._documents[fields["key"]] = changed
         await self._running.put_documents([changed])
+        self._highest = max(self._highest, self._running.revision)
+
+    async def changes(self, several: Sequence[dict[str, Any]]) -> None:
+        """Make several changes at once, as two operators do."""
+        async with asyncio.TaskGroup() as tasks:
+            for fields in several:
+                tasks.create_task(self.change(fields))
+
+    async def put_again(self, _arguments: Any) -> None:
+        """Put all documents until the store is past every revision that it ever had."""
+        while self._running.revision <= self._highest:
+            await self._running.put_documents([*self._documents.values()])
+        self._highest = self._running.revision
+
+    async def not_back(self, names: Sequence[str]) -> None:
+        """Check that no daemon's revision is behind the newest there ever was."""
+        for name in names:
+            status = await self._running.status(name)
+            if status["revision"] < self._highest:
+                raise audit.BrokenError(f"{name} went back to {status['revision']}")
 
     async def revisions(self, fields: dict[str, Any]) -> None:
         """Wait until the daemons `vms` have the newest documents, `within_s`."""
