--- a/packages/decisions/bilberryridge/decisions/costs.py
+++ b/packages/decisions/bilberryridge/decisions/costs.py
@@ -16,7 +16,7 @@
 from bilberryridge.core import documents, messages, requests
 from bilberryridge.decisions import loads as load_books
 
-PREFILL_TOKENS_PER_S = 10_000.0
+PREFILL_TOKENS_PER_S = 5000.0
 DEFAULT_HOLD_S = 1.0
 BUSY_PRICE_S = 0.1
 QUEUE_SHARE = 0.125
@@ -84,11 +84,14 @@
         Weighed, in seconds.
     why : str
         One line for operators.
+    n_prefill_tokens : int
+        Prompt tokens that the server has to compute, for `loads.LoadBook.on_sent`.
     """
 
     server: str
     cost: float
     why: str
+    n_prefill_tokens: int = 0
 
     @property
     def load_key(self) -> str:
@@ -210,6 +213,7 @@
             n_before = n_open - vm.n_slots + 1.0
             wait_s += n_before * self._expected_hold_s(vm) / vm.n_slots
         wait_s += self._loads.excess_wait_s(self._now_s, state)
+        wait_s += state.n_pending_tokens / PREFILL_TOKENS_PER_S
         prefill_s = self._prefill_s
         n_cached = self._cached.get(vm.name, 0)
         if n_cached and n_open <= AFFINITY_BOUND * n_usual + 1.0:
@@ -223,7 +227,8 @@
             f"{vm.name}: {n_open:.1f} of {vm.n_slots} expected, wait {wait_s:.3f} s, "
             f"prefill {prefill_s:.3f} s, {n_cached} blocks cached"
         )
-        return Scored(cost, room, Local(vm.name, cost, why))
+        n_prefill = round(prefill_s * PREFILL_TOKENS_PER_S)
+        return Scored(cost, room, Local(vm.name, cost, why, n_prefill))
 
     def _score_remote(self, item: RemoteDomain) -> Scored | None:
         summary = item.summary
--- a/packages/decisions/bilberryridge/decisions/loads.py
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -113,18 +113,26 @@
         now_s: float,
         server: str,
         request_id: str,
-        n_prompt_tokens: int,
+        n_prefill_tokens: int,
         n_output_tokens: int,
         priority: requests.Priority,
     ) -> None:
-        """Note a request sent to a server."""
+        """Note a request sent to a server.
+
+        Parameters
+        ----------
+        n_prefill_tokens : int
+            Prompt tokens that it has to compute; those cached there left out.
+        """
         self.on_ended(now_s, request_id, None)
         if len(self._open) >= MAX_OPEN:
             self.on_ended(now_s, next(iter(self._open)), None)
         self._open[request_id] = _Open(server, now_s, priority)
         state = self.server(server)
         state.note_change(now_s, 1)
-        state.pending[request_id] = now_s
+        state.note_pending(
+            request_id, server_state.Pending(now_s, n_prefill_tokens)
+        )
 
     def on_began(self, now_s: float, request_id: str, waited_s: float) -> None:
         """Note the first content of a request."""
@@ -133,7 +141,7 @@
             return
         item.has_begun = True
         state = self.server(item.server)
-        state.pending.pop(request_id, None)
+        state.drop_pending(request_id)
         state.health.note_wait(now_s, waited_s)
 
     def on_ended(self, now_s: float, request_id: str, is_good: bool | None) -> None:
@@ -150,7 +158,7 @@
         if item is None or state is None:
             return
         state.note_change(now_s, -1)
-        state.pending.pop(request_id, None)
+        state.drop_pending(request_id)
         if is_good:
             self._note_hold(state.pool, now_s - item.sent_s)
         if is_good is not None and state.health.note_end(now_s, is_good):
@@ -197,7 +205,7 @@
             return 0.0
         excess_s = state.health.excess_wait_s(now_s, usual_s)
         if state.pending:
-            longest_s = now_s - next(iter(state.pending.values()))
+            longest_s = now_s - next(iter(state.pending.values())).sent_s
             excess_s = max(excess_s, longest_s - 2.0 * usual_s)
         return excess_s
 
--- a/packages/decisions/bilberryridge/decisions/server_state.py
+++ b/packages/decisions/bilberryridge/decisions/server_state.py
@@ -20,6 +20,21 @@
 MIN_TIMED_SERVERS = 3
 
 
+@attrs.frozen
+class Pending:
+    """A request of this daemon whose first content has not come.
+
+    Parameters
+    ----------
+    sent_s : float
+    n_tokens : int
+        Prompt tokens that the server has to compute for it.
+    """
+
+    sent_s: float
+    n_tokens: int
+
+
 @attrs.define
 class Server:
     """What is known of one server; the load book alone changes it."""
@@ -34,7 +49,8 @@
     )
     n_net: int = 0
     n_open: int = 0
-    pending: dict[str, float] = attrs.field(factory=dict)
+    pending: dict[str, Pending] = attrs.field(factory=dict)
+    n_pending_tokens: int = 0
     health: healths.Health = attrs.field(factory=healths.Health)
 
     def note_change(self, now_s: float, delta: int) -> None:
@@ -47,6 +63,17 @@
             at_s, second = self.changes.popleft()
             self.changes.appendleft((at_s, first + second))
 
+    def note_pending(self, request_id: str, pending: Pending) -> None:
+        """Note a request that was sent."""
+        self.pending[request_id] = pending
+        self.n_pending_tokens += pending.n_tokens
+
+    def drop_pending(self, request_id: str) -> None:
+        """Note that the first content came, or never will."""
+        pending = self.pending.pop(request_id, None)
+        if pending is not None:
+            self.n_pending_tokens -= pending.n_tokens
+
     def drop_changes(self, until_s: float) -> None:
         """Drop the changes that a report of `until_s` already contains."""
         while self.changes and self.changes[0][0] <= until_s:
--- a/packages/standins/bilberryridge/standins/queueing/engines.py
+++ b/packages/standins/bilberryridge/standins/queueing/engines.py
@@ -11,7 +11,7 @@
 
 from bilberryridge.standins.queueing import events
 
-PREFILL_TOKENS_PER_S = 10_000.0
+PREFILL_TOKENS_PER_S = 6000.0
 LEAST_GAP_S = 0.02
 FULL_GAP_S = 0.04
 N_CACHED_PREFIXES = 6
@@ -106,6 +106,7 @@
         self._waiting: list[tuple[bool, int, Attempt]] = []
         self._numbers = itertools.count()
         self._running: set[Attempt] = set()
+        self._prefilled_s = 0.0
         self._cache: collections.OrderedDict[tuple[int, bool], None]
         self._cache = collections.OrderedDict()
 
@@ -138,6 +139,7 @@
         """End all work with an error, and what comes from now on; lose the cache."""
         self.is_failing = True
         self._cache.clear()
+        self._prefilled_s = 0.0
         lost = [*self._running, *(item[2] for item in self._waiting)]
         self._running.clear()
         self._waiting.clear()
@@ -159,7 +161,11 @@
         n_tokens = job.n_prompt_tokens
         if self._has_prefix(job):
             n_tokens -= job.n_prefix_tokens
-        prefill_s = self.slow_factor * n_tokens / PREFILL_TOKENS_PER_S
+        # One prompt after the other: a step takes in a bounded number of tokens.
+        begins_s = max(self._prefilled_s, self._loop.now_s)
+        work_s = self.slow_factor * n_tokens / PREFILL_TOKENS_PER_S
+        self._prefilled_s = begins_s + work_s
+        prefill_s = self._prefilled_s - self._loop.now_s
         self._loop.after(prefill_s + gap_s, attempt.begin)
         hold_s = prefill_s + job.n_output_tokens * gap_s
         self._loop.after(hold_s, lambda: self._end(attempt))
--- a/packages/standins/bilberryridge/standins/queueing/policies.py
+++ b/packages/standins/bilberryridge/standins/queueing/policies.py
@@ -269,11 +269,14 @@
     def _send(self, now_s: float, flow: daemons.Flow, choice: placement.Choice) -> None:
         job = flow.job
         req = request_of(job)
+        n_prefill = req.n_prompt_tokens
+        if isinstance(choice, placement.Local):
+            n_prefill = choice.n_prefill_tokens
         self.loads.on_sent(
             now_s,
             choice.load_key,
             req.request_id,
-            req.n_prompt_tokens,
+            n_prefill,
             req.n_output_tokens,
             req.priority,
         )
