Load tool: policies compared over a deployment's real processes

Cause: nothing showed how placement and admission do against simple balancing. The baselines live in the tool's load processes, which dial the backend servers through the same links; ruled out: baselines in the daemon, which would have to be kept there for ever.

--- /dev/null
+++ b/packages/standins/bilberryridge/standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: both deployments as processes, policies compared, one table."""
--- /dev/null
+++ b/packages/standins/bilberryridge/standins/bench/__main__.py
@@ -0,0 +1,111 @@
+"""`make bench` and `make bench-quick`: policies compared, one table.
+
+Exits 1 when a case could not be run.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from bilberryridge.standins import processes
+from bilberryridge.standins.bench import (
+    analysis,
+    arrivals,
+    cases,
+    deployments,
+    report,
+    running,
+)
+
+N_NETS = 90
+FIRST_NET = 130
+SEED = 1
+
+
+def _options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="two loads, one repeat")
+    parser.add_argument("--only", default="", help="cases whose name has this text")
+    parser.add_argument("--policies", default="", help="comma-separated")
+    parser.add_argument("--repeats", type=int, default=0)
+    parser.add_argument("--seed", type=int, default=SEED)
+    parser.add_argument("--name", default="", help="of the results; empty for none")
+    parser.add_argument("--commit", default="", help="what is measured")
+    return parser.parse_args()
+
+
+async def compare(
+    wanted: Sequence[cases.Case], options: argparse.Namespace
+) -> list[report.Row]:
+    """Run cases, those of one fleet together; return a row for each policy."""
+    rows = []
+    fleets = sorted({(c.deployment, c.report_lag_s) for c in wanted})
+    random_state = random.Random(options.seed)
+    for name, lag_s in fleets:
+        net = FIRST_NET + os.getpid() % N_NETS
+        deployment = deployments.load(name, net, lag_s)
+        async with running.open_fleet(deployment) as fleet:
+            for case in wanted:
+                if (case.deployment, case.report_lag_s) == (name, lag_s):
+                    found = await _compare_one(fleet, case, options, random_state)
+                    print(report.table(found), flush=True)
+                    rows += found
+    return rows
+
+
+async def _compare_one(
+    fleet: running.Fleet,
+    case: cases.Case,
+    options: argparse.Namespace,
+    random_state: random.Random,
+) -> list[report.Row]:
+    names = [p for p in case.policies if not options.policies or p in options.policies]
+    n_repeats = options.repeats or case.n_repeats
+    turns = [(n, policy) for n in range(n_repeats) for policy in names]
+    random_state.shuffle(turns)
+    found: dict[str, list[dict[str, Any]]] = {name: [] for name in names}
+    for n, policy in turns:
+        salt = f"{random_state.randrange(1 << 32):08x}"
+        run = await fleet.run(case, policy, options.seed + n, salt)
+        found[policy].append(analysis.figures(run, case, fleet.deployment))
+    return [report.Row(case, p, analysis.median(found[p])) for p in names]
+
+
+def main() -> int:
+    """Compare; return the exit status."""
+    options = _options()
+    known = list(cases.QUICK if options.quick else cases.FULL)
+    wanted = [case for case in known if options.only in case.name]
+    began_s = time.monotonic()
+    with processes.ended_by_signals():
+        try:
+            rows = asyncio.run(compare(wanted, options))
+        except running.NotReadyError as exc:
+            print(exc)
+            return 1
+    took_s = time.monotonic() - began_s
+    about = {
+        "measured at": options.commit or "the working tree",
+        "seed": options.seed,
+        "took": f"{took_s:.0f} s",
+        "capacity": ", ".join(
+            f"{n / arrivals.server_s_per_request(deployments.SPEED):.1f} requests/s "
+            f"with {n} engines"
+            for n in (6, 9)
+        ),
+    }
+    print(report.details(rows))
+    print(report.NOTE)
+    print(about)
+    if options.name:
+        report.save(options.name, rows, about)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
