--- a/packages/transport/bilberryridge/transport/tests/test_attempts.py
+++ b/packages/transport/bilberryridge/transport/tests/test_attempts.py
@@ -31,6 +31,7 @@
 GOOD_CHAT = json.dumps({"choices": [{"message": {"content": "six"}}]}).encode()
 ROLE = event('{"choices":[{"delta":{"role":"assistant","content":""}}]}')
 OTHER_ID = b"X-Request-Id: of-another\r\n"
+OWN_ERROR = scripted_backend.chunk(b"event: error\ndata: maples\n\n")
 OVER_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsix"
 
 # Name, request, whether once, what the server sends before it closes, the result, the
@@ -58,6 +59,7 @@
     ("blank stream", CHAT, False, [ROLE, DONE], RESULT.LOST, 502, True),
     ("cut before content", CHAT, False, [ROLE], RESULT.LOST, 502, True),
     ("cut after content", CHAT, False, [delta("a")], RESULT.LOST, 200, False),
+    ("own error, cut", CHAT, False, [delta("a"), OWN_ERROR], RESULT.LOST, 200, False),
     ("no end marker", CHAT, False, [delta("a"), LAST_CHUNK], RESULT.LOST, 200, False),
     ("marker in text", CHAT, False, [delta("data: [DONE]")], RESULT.LOST, 200, False),
 ]
@@ -84,7 +86,9 @@
     assert (answer.status, answer.is_whole) == (status, is_whole)
     assert backend.n_requests(asked[0]) == 1
     if is_stream and not is_whole:
-        assert b"event: error" in answer.body
+        last = answer.body.rstrip(b"\n").rpartition(b"\n\n")[2]
+        assert last.startswith(b"event: error\n")
+        assert b"urn:bilberryridge:problem:answer-lost" in last
         assert b"\ndata: [DONE]" not in answer.body
 
 
