--- /dev/null
+++ b/packages/standins/bilberryridge/standins/tests/test_audit.py
@@ -0,0 +1,56 @@
+import asyncio
+import json
+
+import pytest
+
+from bilberryridge.standins import audit, caller, expected, layout, sending
+
+TARGET = f"/services/{layout.PLAIN}{sending.BOOKING_PATH}"
+BODY = b"{}"
+RIGHT = expected.plain("POST", sending.BOOKING_PATH, BODY)
+
+
+class FakeFleet:
+    def __init__(self, n_runs):
+        run = {"key": "k", "request_id": "r", "method": "POST", "domain": "east"}
+        self._runs = [run] * n_runs
+
+    async def all_runs(self):
+        return self._runs
+
+
+def booked(status=200, body=RIGHT, outcome="", is_complete=True):
+    req = caller.Request("", "POST", TARGET, {"idempotency-key": "k"}, BODY)
+    headers = {"x-request-id": "other", "bilberryridge-outcome": outcome}
+    return sending.Sent(req, caller.Answer(status, headers, body, is_complete))
+
+
+CASES = [
+    # runs at the fakes, answers -> whether all that must hold does
+    (1, [booked()], True),
+    (1, [booked(), booked()], True),
+    (2, [booked()], False),
+    (0, [booked()], False),
+    (1, [booked(body=RIGHT[:-1])], False),
+    (1, [booked(body=RIGHT[:-1], is_complete=False)], True),
+    (0, [booked(503, json.dumps({}).encode(), audit.NOT_RUN)], True),
+    (1, [booked(503, json.dumps({}).encode(), audit.NOT_RUN)], False),
+    (1, [booked(503, json.dumps({}).encode(), "unknown")], True),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=str)
+def test_what_must_hold(case):
+    n_runs, answers, does_hold = case
+
+    async def run():
+        checking = audit.Audit(FakeFleet(n_runs))
+        for sent in answers:
+            await checking.add(sent)
+        await checking.check()
+
+    if does_hold:
+        asyncio.run(run())
+    else:
+        with pytest.raises(audit.BrokenError):
+            asyncio.run(run())
