--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 scenarios: $(STAMP)
 	$(BIN)/python -m bilberryridge.standins.scenarios
 
-test: check unit
+test: check unit scenarios
 
 demo: $(STAMP)
 	$(BIN)/python -m bilberryridge.standins.demo $(if $(KEEP),--keep)
--- a/packages/standins/bilberryridge/standins/fleet.py
+++ b/packages/standins/bilberryridge/standins/fleet.py
@@ -17,7 +17,14 @@
 from typing import Any, TypeVar
 
 from bilberryridge.core import documents, encoding
-from bilberryridge.standins import caller, configs, faults, layout, processes
+from bilberryridge.standins import (
+    caller,
+    configs,
+    faults,
+    layout,
+    layout_files,
+    processes,
+)
 
 START_PATIENCE_S = 30.0
 POLL_INTERVAL_S = 0.05
@@ -78,11 +85,13 @@
 
     async def start_surroundings(self) -> None:
         """Start platform, links and backend servers; put the documents there."""
-        self._start(layout.PLATFORM, "platform_server", layout.platform_file(self.plan))
+        self._start(
+            layout.PLATFORM, "platform_server", layout_files.platform_file(self.plan)
+        )
         if self.plan.has_links:
-            self._start(LINKS, LINKS, layout.links_file(self.plan))
+            self._start(LINKS, LINKS, layout_files.links_file(self.plan))
         for vm in self.plan.servers():
-            self._start(vm.name, "servers", layout.server_file(self.plan, vm))
+            self._start(vm.name, "servers", layout_files.server_file(self.plan, vm))
         await wait_for("the platform", self._is_platform_there)
         if self.plan.has_links:
             await wait_for("the links", lambda: is_open(self.plan.links_control))
@@ -93,7 +102,7 @@
     def start_daemon(self, name: str, seeds: tuple[str, ...] = ()) -> None:
         """Start the daemon of an entry VM; do not wait for it."""
         path = self._folder / f"{name}.yaml"
-        configs.save(path, layout.daemon_file(self.plan, self.vms[name], seeds))
+        configs.save(path, layout_files.daemon_file(self.plan, self.vms[name], seeds))
         self.children.start(name, DAEMON, "--settings", str(path))
 
     async def start_daemons(self, names: list[str]) -> None:
--- a/packages/standins/bilberryridge/standins/web.py
+++ b/packages/standins/bilberryridge/standins/web.py
@@ -149,7 +149,12 @@
         self._task = asyncio.get_running_loop().create_task(self._serve(self._call))
 
     async def _serve(self, call: Call) -> None:
-        await self._server.serve(call)
+        try:
+            await self._server.serve(call)
+        except Exception:
+            # Who commands a fault that there is not must hear of it at once.
+            self.reset()
+            raise
         if self._transport.is_closing():
             return
         if self._h11.states != {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
