--- a/packages/decisions/bilberryridge/decisions/load_flow.py
+++ b/packages/decisions/bilberryridge/decisions/load_flow.py
@@ -1,17 +1,25 @@
 """Load reports: read in shares, passed on within the domain, summed up for others."""
 
-import attrs
-
 from bilberryridge.core import documents, messages
-from bilberryridge.decisions import effects, events, membership, request_flow, state
+from bilberryridge.decisions import (
+    effects,
+    events,
+    membership,
+    placement,
+    request_flow,
+    state,
+)
 
 LOADS_TOLD_INTERVAL_S = 1.0
-SUMMARY_REPEAT_S = 5.0
-ROOM_STALE_S = 15.0
+LOAD_REPEAT_S = 5.0
+SUMMARY_REPEAT_S = 10.0
+MS_PER_S = 1000
+DEFAULT_ONE_WAY_S = 0.03
+ROOM_STALE_S = 25.0
 """After this long without a word a domain is taken to be cut off."""
 
-CHANGE_SHARE = 0.1
-"""Of a domain's slots; a smaller change is not told before the next repeat."""
+CHANGE_SHARE = 0.125
+"""Of the slots; a smaller change is not told before the next repeat."""
 
 
 def on_load(st: state.State, now_s: float, event: events.LoadRead) -> None:
@@ -28,10 +36,9 @@
     st: state.State, now_s: float, sender: str, body: messages.LoadDelta
 ) -> None:
     """Take reports that a daemon of the own domain read."""
+    age_s = body.age_ms / MS_PER_S
     for load in body.loads:
-        st.loads.on_report(
-            now_s, load.server, load.n_running, load.n_waiting, load.age_s
-        )
+        st.loads.on_report(now_s, load.server, load.n_running, load.n_waiting, age_s)
         _dispatch_service_of(st, now_s, load.server)
 
 
@@ -45,43 +52,76 @@
     st: state.State, now_s: float, sender: str, body: messages.Summaries
 ) -> None:
     """Take rooms of other domains; the newest word on each counts."""
-    news = [s for s in body.summaries if _is_news(st, now_s, s)]
-    for summary in news:
-        st.remote_rooms[summary.domain, summary.service] = state.RemoteRoom(
-            summary.n_slots, summary.n_busy, summary.n_waiting, now_s, summary.age_s
+    is_from_outside = sender not in st.own_daemon_names()
+    for summary in body.domains:
+        is_known = summary.domain in st.deployment.domains
+        if not is_known or summary.domain == st.cfg.domain:
+            continue
+        _take_summary(st, now_s, summary)
+        if is_from_outside:
+            # Passed on within the domain with the next word on loads.
+            st.heard_domains.add(summary.domain)
+
+
+def _take_summary(
+    st: state.State, now_s: float, summary: messages.DomainSummary
+) -> None:
+    age_s = summary.age_ms / MS_PER_S
+    region = st.deployment.region_of(summary.domain)
+    one_way_s = _one_way_s(st, region)
+    for room in summary.rooms:
+        by_domain = st.remote_rooms.setdefault(room.service, {})
+        known = by_domain.get(summary.domain)
+        if known is not None and _age_s(now_s, known) < age_s:
+            continue
+        counted = messages.ServiceSummary(
+            summary.domain,
+            room.service,
+            room.n_slots,
+            room.n_busy,
+            room.n_waiting,
+            age_s,
         )
-    is_from_outside = sender not in {vm.name for vm in st.domain_daemons(st.cfg.domain)}
-    if news and is_from_outside:
-        for peer in st.own_peers():
-            st.send_peer(peer, messages.Summaries(tuple(news)))
+        by_domain[summary.domain] = placement.RemoteDomain(
+            summary.domain, region, one_way_s, counted, read_s=now_s
+        )
+
+
+def _one_way_s(st: state.State, region: str) -> float:
+    for link in st.deployment.links.values():
+        if {link.a, link.b} == {st.cfg.region, region}:
+            return link.one_way_ms / 1e3
+    return DEFAULT_ONE_WAY_S
 
 
-def _is_news(st: state.State, now_s: float, summary: messages.ServiceSummary) -> bool:
-    if summary.domain == st.cfg.domain or summary.domain not in st.deployment.domains:
-        return False
-    known = st.remote_rooms.get((summary.domain, summary.service))
-    return known is None or now_s - known.heard_s + known.age_s > summary.age_s
+def _age_s(now_s: float, remote: placement.RemoteDomain) -> float:
+    read_s = now_s if remote.read_s is None else remote.read_s
+    return now_s - read_s + remote.summary.age_s
 
 
 def on_tick(st: state.State, now_s: float) -> None:
     """Share out the reports to read, and tell what was read."""
-    st.loads.n_daemons = len(st.live_own_daemons(now_s))
-    _share_reports(st, now_s)
     if now_s - st.last_loads_told_s < LOADS_TOLD_INTERVAL_S:
         return
     st.last_loads_told_s = now_s
+    st.loads.n_daemons = len(st.live_own_daemons(now_s))
+    _share_reports(st, now_s)
     _tell_loads(st, now_s)
     _tell_summaries(st, now_s)
-    for key in [k for k, r in st.remote_rooms.items() if _is_stale(now_s, r)]:
-        del st.remote_rooms[key]
-
-
-def _is_stale(now_s: float, room: state.RemoteRoom) -> bool:
-    return now_s - room.heard_s > ROOM_STALE_S
+    _pass_summaries_on(st, now_s)
+    for by_domain in st.remote_rooms.values():
+        for domain, remote in list(by_domain.items()):
+            if _age_s(now_s, remote) > ROOM_STALE_S:
+                del by_domain[domain]
 
 
 def _share_reports(st: state.State, now_s: float) -> None:
-    live = st.live_own_daemons(now_s)
+    live = sorted(st.live_own_daemons(now_s))
+    # Ranking hundreds of servers costs too much to do it again without a change.
+    shared_for = (st.replica.complete_revision, tuple(live))
+    if shared_for == st.shared_for:
+        return
+    st.shared_for = shared_for
     mine = tuple(
         (vm.name, vm.address)
         for vm in sorted(own_servers(st), key=lambda vm: vm.name)
@@ -98,55 +138,114 @@
 
 
 def _tell_loads(st: state.State, now_s: float) -> None:
-    reports = []
-    for server, read_s in st.fresh_reports.items():
-        known = st.loads.server(server)
-        load = messages.ServerLoad(
-            server, known.n_running, known.n_waiting, now_s - read_s
-        )
-        reports.append(load)
+    peers = st.own_peers()
+    due = [server for server in st.fresh_reports if _is_load_due(st, now_s, server)]
+    if due and peers:
+        oldest_s = min(st.fresh_reports[server] for server in due)
+        loads = tuple(_load_of(st, server) for server in due)
+        body = messages.LoadDelta(round((now_s - oldest_s) * MS_PER_S), loads)
+        for peer in peers:
+            st.send_peer(peer, body)
+        for load in loads:
+            st.told_loads[load.server] = (load.n_running, load.n_waiting, now_s)
     st.fresh_reports.clear()
-    if reports:
-        for peer in st.own_peers():
-            st.send_peer(peer, messages.LoadDelta(tuple(reports)))
+
+
+def _load_of(st: state.State, server: str) -> messages.ServerLoad:
+    known = st.loads.server(server)
+    return messages.ServerLoad(server, known.n_running, known.n_waiting)
+
+
+def _is_load_due(st: state.State, now_s: float, server: str) -> bool:
+    """Whether peers would decide otherwise, or need a sign that it still reports."""
+    told = st.told_loads.get(server)
+    if told is None or now_s - told[2] >= LOAD_REPEAT_S:
+        return True
+    known = st.loads.server(server)
+    change = abs(known.n_running + known.n_waiting - told[0] - told[1])
+    return change >= max(1, round(CHANGE_SHARE * known.n_slots))
 
 
 def _tell_summaries(st: state.State, now_s: float) -> None:
-    due = [s for s in _own_summaries(st, now_s) if _is_due(st, now_s, s)]
-    if not due:
+    own = st.own_daemon_names()
+    outside = [peer.vm for peer in st.members.connected() if peer.vm not in own]
+    if not outside:
+        return
+    rooms = _own_rooms(st, now_s)
+    if not any(_is_due(now_s, r, st.told_rooms.get(r.service)) for r in rooms):
         return
-    own = {vm.name for vm in st.domain_daemons(st.cfg.domain)}
-    for peer in st.members.connected():
-        if peer.vm not in own:
-            st.send_peer(peer.vm, messages.Summaries(tuple(due)))
+    # One message that is due costs little more with what is half due.
+    due = [
+        r
+        for r in rooms
+        if _is_due(now_s + SUMMARY_REPEAT_S / 2, r, st.told_rooms.get(r.service))
+    ]
+    for room in due:
+        st.told_rooms[room.service] = (room, now_s)
+    summary = messages.DomainSummary(st.cfg.domain, 0, tuple(due))
+    for vm in outside:
+        st.send_peer(vm, messages.Summaries((summary,)))
+
+
+def _pass_summaries_on(st: state.State, now_s: float) -> None:
+    found = []
+    for domain in sorted(st.heard_domains):
+        rooms, age_s = [], 0.0
+        for service, by_domain in st.remote_rooms.items():
+            remote = by_domain.get(domain)
+            if remote is None or not _is_news(st, now_s, service, remote):
+                continue
+            known = remote.summary
+            rooms.append(
+                messages.Room(service, known.n_slots, known.n_busy, known.n_waiting)
+            )
+            age_s = max(age_s, _age_s(now_s, remote))
+            st.passed_rooms[domain, service] = (rooms[-1], now_s)
+        if rooms:
+            age_ms = round(age_s * MS_PER_S)
+            found.append(messages.DomainSummary(domain, age_ms, tuple(rooms)))
+    st.heard_domains.clear()
+    if found:
+        for peer in st.own_peers():
+            st.send_peer(peer, messages.Summaries(tuple(found)))
+
+
+def _is_news(
+    st: state.State, now_s: float, service: str, remote: placement.RemoteDomain
+) -> bool:
+    known = remote.summary
+    room = messages.Room(service, known.n_slots, known.n_busy, known.n_waiting)
+    passed = st.passed_rooms.get((remote.domain, service))
+    return _is_due(now_s, room, passed)
 
 
-def _own_summaries(st: state.State, now_s: float) -> list[messages.ServiceSummary]:
-    totals: dict[str, messages.ServiceSummary] = {}
+def _own_rooms(st: state.State, now_s: float) -> list[messages.Room]:
+    totals: dict[str, messages.Room] = {}
     for vm in own_servers(st):
-        is_used = st.members.takes_new_work(now_s, vm) and not st.loads.is_ejected(
-            now_s, vm.name
-        )
+        before = totals.get(vm.service) or messages.Room(vm.service, 0, 0, 0)
+        totals[vm.service] = before
+        if not st.members.takes_new_work(now_s, vm):
+            continue
+        if st.loads.is_ejected(now_s, vm.name):
+            continue
         estimate = st.loads.estimate(now_s, vm.name)
-        before = totals.get(vm.service) or messages.ServiceSummary(
-            st.cfg.domain, vm.service, 0, 0, 0, 0.0
-        )
-        totals[vm.service] = attrs.evolve(
-            before,
-            n_slots=before.n_slots + (vm.n_slots if is_used else 0),
-            n_busy=before.n_busy + (round(estimate.n_busy) if is_used else 0),
-            n_waiting=before.n_waiting + (round(estimate.n_waiting) if is_used else 0),
+        totals[vm.service] = messages.Room(
+            vm.service,
+            before.n_slots + vm.n_slots,
+            before.n_busy + round(estimate.n_busy),
+            before.n_waiting + round(estimate.n_waiting),
         )
     return list(totals.values())
 
 
-def _is_due(st: state.State, now_s: float, summary: messages.ServiceSummary) -> bool:
-    key = summary.domain, summary.service
-    told = st.told_summaries.get(key)
-    now = (summary.n_slots, summary.n_busy, summary.n_waiting, now_s)
-    if told is not None and now_s - told[3] < SUMMARY_REPEAT_S:
-        most = max(abs(a - b) for a, b in zip(now[:3], told[:3], strict=True))
-        if most <= CHANGE_SHARE * max(summary.n_slots, 1):
-            return False
-    st.told_summaries[key] = now
-    return True
+def _is_due(
+    now_s: float, room: messages.Room, told: tuple[messages.Room, float] | None
+) -> bool:
+    if told is None or now_s - told[1] >= SUMMARY_REPEAT_S:
+        return True
+    before = told[0]
+    n_changed = max(
+        abs(room.n_slots - before.n_slots),
+        abs(room.n_busy + room.n_waiting - before.n_busy - before.n_waiting),
+    )
+    return n_changed > CHANGE_SHARE * max(room.n_slots, before.n_slots)
--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from bilberryridge.core import documents, outcomes, requests
+from bilberryridge.core import documents, messages, outcomes, requests
 from bilberryridge.decisions import (
     admission,
     charts,
@@ -17,6 +17,7 @@
     loads,
     membership,
     once,
+    placement,
     prefixes,
     replica,
     retries,
@@ -109,27 +110,17 @@
     def outcome(self) -> outcomes.Outcome:
         """What is known when it is refused now.
 
-        Without ownership of its key nothing is known of earlier tries.
+        Without ownership of its key nothing is known of earlier tries; a request that
+        its owner forwarded is the exception, as the owner knows of them.
         """
-        is_key_of_another = bool(self.req.idempotency_key) and not self.scope
         envelope = self.req.envelope
-        is_owned_by_sender = envelope is not None and not envelope.is_relay
-        if self.n_sent or (is_key_of_another and not is_owned_by_sender):
+        is_from_owner = envelope is not None and not envelope.is_relay
+        is_key_of_another = bool(self.req.idempotency_key) and not self.scope
+        if self.n_sent or (is_key_of_another and not is_from_owner):
             return outcomes.Outcome.UNKNOWN
         return outcomes.Outcome.NOT_RUN
 
 
-@attrs.define
-class RemoteRoom:
-    """The last summary of a domain's room for a service, and when it came."""
-
-    n_slots: int
-    n_busy: int
-    n_waiting: int
-    heard_s: float
-    age_s: float
-
-
 class State:
     """All tables of a node; each has a bound.
 
@@ -153,21 +144,33 @@
         self.is_store_suspect = False
         self.is_store_reachable = False
         self.store_read_s: float | None = None
-        self.wanted_at_s: dict[str, float] = {}
+        self.wanted_at_s = float("-inf")
         self.is_watching = False
         # Members
         self.members = membership.Membership(cfg.vm)
         self.wanted_peers: tuple[tuple[str, str], ...] = ()
-        self.last_heartbeat_s = float("-inf")
+        self.last_connect_s = float("-inf")
+        self.last_beat_s = float("-inf")
+        self.heartbeat_told_s: dict[str, float] = {}
+        self.heartbeat_told: messages.Heartbeat | None = None
+        self.sent_peer_s: dict[str, float] = {}
+        self.now_s = float("-inf")
+        self.told_leaving: set[str] = set()
+        self.leaving_told_s = float("-inf")
         self.last_list_told_s = float("-inf")
         # Load
         self.loads = loads.LoadBook(MAX_LOADED_SERVERS, random_state)
         self.prefixes = prefixes.PrefixBook(MAX_PREFIX_ENTRIES)
-        self.remote_rooms: dict[tuple[str, str], RemoteRoom] = {}
+        self.remote_rooms: dict[str, dict[str, placement.RemoteDomain]] = {}
+        self.candidates: dict[str, list[placement.Candidate]] = {}
+        self.shared_for: tuple[int, tuple[str, ...]] | None = None
         self.read_servers: tuple[tuple[str, str], ...] = ()
         self.last_loads_told_s = float("-inf")
         self.fresh_reports: dict[str, float] = {}
-        self.told_summaries: dict[tuple[str, str], tuple[int, int, int, float]] = {}
+        self.told_loads: dict[str, tuple[int, int, float]] = {}
+        self.heard_domains: set[str] = set()
+        self.passed_rooms: dict[tuple[str, str], tuple[messages.Room, float]] = {}
+        self.told_rooms: dict[str, tuple[messages.Room, float]] = {}
         # Requests
         self.open: dict[str, Open] = {}
         self.admission = admission.Admission(random_state)
@@ -200,6 +203,7 @@
 
     def send_peer(self, vm: str, body: object) -> None:
         """Send a control message with this node's revision."""
+        self.sent_peer_s[vm] = self.now_s
         self.emit(effects.SendPeer(vm, self.replica.complete_revision, body))  # type: ignore[arg-type]
 
     def step(self, open_req: Open, event: str) -> None:
@@ -221,9 +225,13 @@
     def live_own_daemons(self, now_s: float) -> list[str]:
         """Return the live daemons of the own failure domain, this one included."""
         names = [vm.name for vm in self.domain_daemons(self.cfg.domain)]
-        live = [name for name in names if self.members.is_live_daemon(now_s, name)]
+        live = [name for name in names if self.members.is_heard_daemon(now_s, name)]
         return live if self.cfg.vm in live else [*live, self.cfg.vm]
 
+    def own_daemon_names(self) -> set[str]:
+        """Return the names of the entry VMs of the own failure domain."""
+        return {vm.name for vm in self.domain_daemons(self.cfg.domain)}
+
     def own_peers(self) -> list[str]:
         """Return the connected daemons of the own failure domain."""
         own = self.domain_daemons(self.cfg.domain)
