--- a/packages/utilities/bilberryridge/utilities/transfers.py
+++ b/packages/utilities/bilberryridge/utilities/transfers.py
@@ -122,11 +122,9 @@
             ended += [(curl, errno, text) for curl, errno, text in failed]
             for curl, errno, text in ended:
                 on_done = self._on_done.pop(curl, None)
-                if on_done is None:
-                    # Removed by the report of one that ended at the same time.
-                    continue
                 self._multi.remove_handle(curl)
-                on_done(curl, errno, text)
+                if on_done is not None:
+                    on_done(curl, errno, text)
                 curl.close()
 
 
