--- a/packages/decisions/bilberryridge/decisions/membership.py
+++ b/packages/decisions/bilberryridge/decisions/membership.py
@@ -14,8 +14,12 @@
 
 HEARTBEAT_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 3.0
+OUTSIDE_PACE = 3
+"""How many times slower daemons of different domains beat."""
 UNREACHABLE_HOLDS_S = 5.0
 LIST_FRESH_S = 5.0
+TOLD_HOLDS_S = 8.0
+"""How long word of a peer counts; it is repeated well within."""
 CONTACT_PATIENCE_S = 5.0
 
 
@@ -63,6 +67,12 @@
         self._list_read_s: float | None = None
         self._unreachable_until_s: dict[str, float] = {}
         self._told_leaving: dict[str, tuple[float, frozenset[str]]] = {}
+        self._began_s: float | None = None
+
+    def begin(self, now_s: float) -> None:
+        """Note when the node first saw time pass; called again, it does nothing."""
+        if self._began_s is None:
+            self._began_s = now_s
 
     def peer(self, vm: str) -> Peer | None:
         """Return what is known of a daemon."""
@@ -117,11 +127,19 @@
                 changes.append((vm, before, after))
         return changes
 
-    def expire(self, now_s: float) -> list[str]:
-        """Note silence; return the daemons that just fell silent."""
+    def expire(self, now_s: float, own_daemons: set[str]) -> list[str]:
+        """Note silence; return the daemons that just fell silent.
+
+        Parameters
+        ----------
+        own_daemons : set of str
+            Names of those in the own failure domain.
+        """
         silent = []
         for peer in self._peers.values():
-            if peer.state == "connected" and not self._is_heard(now_s, peer):
+            pace = 1 if peer.vm in own_daemons else OUTSIDE_PACE
+            is_late = now_s - peer.heard_s > pace * HEARTBEAT_TIMEOUT_S
+            if peer.state == "connected" and is_late:
                 peer.state = self._peer_chart.step(peer.state, "time_out")
                 silent.append(peer.vm)
         return silent
@@ -134,11 +152,14 @@
             return False
         return self._is_list_fresh(now_s) or not self._is_told_leaving(now_s, vm.name)
 
-    def leaving_servers(self) -> tuple[str, ...]:
-        """Return the servers that the list says are leaving or gone."""
-        return tuple(
-            vm for vm, s in self._server_states.items() if s in ("leaving", "gone")
-        )
+    def listed_leaving(self) -> set[str]:
+        """Return the VMs that the list says are leaving or gone."""
+        return {vm for vm, s in self._server_states.items() if s in ("leaving", "gone")}
+
+    def told_leaving_by(self, now_s: float, sender: str) -> frozenset[str]:
+        """Return the VMs that a daemon lately said take no new work."""
+        told_s, vms = self._told_leaving.get(sender, (float("-inf"), frozenset()))
+        return vms if now_s - told_s <= TOLD_HOLDS_S else frozenset()
 
     def is_live_daemon(self, now_s: float, vm: str) -> bool:
         """Whether a daemon is taken to be there, leaving or not."""
@@ -151,8 +172,21 @@
             return False
         if peer is not None and peer.state == "silent":
             return False
+        if self._is_told_leaving(now_s, vm):
+            return False
         return self._server_states.get(vm) != "gone"
 
+    def is_heard_daemon(self, now_s: float, vm: str) -> bool:
+        """Whether a daemon of the own failure domain is there.
+
+        All of them keep connections to each other, so silence means it is not. A node
+        that has just begun gives them time to connect.
+        """
+        if vm == self._own_vm or self.is_connected(vm):
+            return True
+        is_new = self._began_s is None or now_s - self._began_s <= HEARTBEAT_TIMEOUT_S
+        return is_new and vm not in self._peers
+
     def is_leaving_daemon(self, vm: str) -> bool:
         """Whether a daemon takes no new callers."""
         peer = self._peers.get(vm)
@@ -182,9 +216,6 @@
         peer.state = self._peer_chart.step(peer.state, event)
         return peer
 
-    def _is_heard(self, now_s: float, peer: Peer) -> bool:
-        return now_s - peer.heard_s <= HEARTBEAT_TIMEOUT_S
-
     def _is_list_fresh(self, now_s: float) -> bool:
         return (
             self._list_read_s is not None and now_s - self._list_read_s <= LIST_FRESH_S
@@ -194,7 +225,7 @@
         return any(
             server in servers
             for told_s, servers in self._told_leaving.values()
-            if now_s - told_s <= 2 * LIST_FRESH_S
+            if now_s - told_s <= TOLD_HOLDS_S
         )
 
 
--- a/packages/peers/bilberryridge/peers/codec.py
+++ b/packages/peers/bilberryridge/peers/codec.py
@@ -24,7 +24,8 @@
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 8
 MAX_LOADS = 4096
-MAX_SUMMARIES = 16384
+MAX_DOMAINS = 1024
+MAX_ROOMS = 256
 MAX_VERSIONS = 65536
 MAX_SERVERS = 16384
 MAX_HEADERS = 128
@@ -83,25 +84,23 @@
     fields.text,
     fields.integer,
     fields.integer,
-    fields.seconds,
-    fields.flag,
 )
-_SERVICE_SUMMARY = fields.record(
-    messages.ServiceSummary,
-    fields.text,
+_ROOM = fields.record(
+    messages.Room, fields.text, fields.integer, fields.integer, fields.integer
+)
+_DOMAIN_SUMMARY = fields.record(
+    messages.DomainSummary,
     fields.text,
     fields.integer,
-    fields.integer,
-    fields.integer,
-    fields.seconds,
+    fields.array(_ROOM, MAX_ROOMS),
 )
 _VERSION = fields.record(
     documents.Version, fields.text, fields.integer, fields.data(MAX_MESSAGE_BYTES)
 )
 _FIELDS: dict[type, tuple[fields.Check, ...]] = {
     messages.Heartbeat: (fields.flag, fields.integer, fields.flag),
-    messages.LoadDelta: (fields.array(_SERVER_LOAD, MAX_LOADS),),
-    messages.Summaries: (fields.array(_SERVICE_SUMMARY, MAX_SUMMARIES),),
+    messages.LoadDelta: (fields.integer, fields.array(_SERVER_LOAD, MAX_LOADS)),
+    messages.Summaries: (fields.array(_DOMAIN_SUMMARY, MAX_DOMAINS),),
     messages.ConfigurationWanted: (fields.integer,),
     messages.ConfigurationChanges: (
         fields.integer,
@@ -223,17 +222,18 @@
     return items
 
 
-def _array(body: messages.Message) -> tuple[Any, ...]:
-    """Turn a message into nested tuples."""
+def _array(item: Any) -> tuple[Any, ...]:
+    """Turn a message or an object within one into nested tuples."""
     return tuple(
-        tuple(map(_record, value)) if type(value) is tuple else value
-        for value in _VALUES[type(body)](body)
+        tuple(map(_item, value)) if type(value) is tuple else value
+        for value in _VALUES[type(item)](item)
     )
 
 
-def _record(item: Any) -> Any:
-    values = _VALUES.get(type(item))
-    return values(item) if values is not None else item
+def _item(item: Any) -> Any:
+    if type(item) in _FLAT:
+        return _VALUES[type(item)](item)
+    return _array(item) if type(item) in _VALUES else item
 
 
 def _values(made: Any) -> Callable[[Any], tuple[Any, ...]]:
@@ -243,5 +243,6 @@
     return lambda item: (getattr(item, names[0]),)
 
 
-_RECORDS = (messages.ServerLoad, messages.ServiceSummary, documents.Version)
-_VALUES = {made: _values(made) for made in (*_FIELDS, *_RECORDS)}
+_FLAT = frozenset([messages.ServerLoad, messages.Room, documents.Version])
+"""Most items are of these, and they hold nothing nested."""
+_VALUES = {made: _values(made) for made in (*_FIELDS, *_FLAT, messages.DomainSummary)}
--- a/packages/peers/bilberryridge/peers/tests/test_peers.py
+++ b/packages/peers/bilberryridge/peers/tests/test_peers.py
@@ -261,7 +261,7 @@
     monkeypatch.setattr(connection, "USER_TIMEOUT_MS", 60000)
     # A keepalive would move what waits as well.
     slow = {"idle_timeout_s": 60, "keepalive_interval_s": 60, "max_queued_messages": 50}
-    delta = messages.LoadDelta((messages.ServerLoad("s", 1, 1, 0.0),) * 400)
+    delta = messages.LoadDelta(0, (messages.ServerLoad("s", 1, 1),) * 400)
     wanted = [
         messages.OutcomeCopy(f"{n}", b"", 200, (), bytes(20000), 1.0) for n in range(40)
     ]
--- a/packages/platform/bilberryridge/platform/tests/test_platform_task.py
+++ b/packages/platform/bilberryridge/platform/tests/test_platform_task.py
@@ -129,7 +129,6 @@
     with bench.store.changed:
         bench.store.revision += 10
         bench.store.compact_revision = bench.store.revision
-        bench.store.watch_epoch += 1
 
 
 def restart(bench):
@@ -181,6 +180,21 @@
         bench.reads_to({"vm/a": b"2"})
 
 
+def test_store_that_was_restored_and_has_overtaken_is_read_whole():
+    with watching() as bench:
+        bench.store.put("documents/vm/b", b"2")
+        bench.reads_to({"vm/a": b"1", "vm/b": b"2"})
+        with bench.store.changed:
+            # Back to the first document, then a change at the revision of the second.
+            bench.store.revision = 2
+            bench.store._delete(b"/bilberryridge/test/documents/vm/b")
+            bench.store.put("documents/vm/a", b"restored")
+            bench.store.history.clear()
+            bench.store.revision = 9
+            bench.store.watch_epoch += 1
+        bench.reads_to({"vm/a": b"restored"})
+
+
 def test_other_store_is_counted_and_read_whole():
     with watching() as bench:
         bench.store.cluster_id = 8
--- a/packages/standins/bilberryridge/standins/etcd_json.py
+++ b/packages/standins/bilberryridge/standins/etcd_json.py
@@ -66,6 +66,7 @@
         to_bytes(body.get("range_end")),
         int(body.get("limit", 0)),
         bool(body.get("count_only", False)),
+        (body.get("sort_target"), body.get("sort_order")) == ("MOD", "DESCEND"),
     )
 
 
