--- a/packages/decisions/bilberryridge/decisions/configuration_flow.py
+++ b/packages/decisions/bilberryridge/decisions/configuration_flow.py
@@ -23,6 +23,9 @@
         if not st.is_store_suspect:
             st.changed("store", "configuration", "trusted", f"refused: {exc}")
         st.is_store_suspect = True
+        if event.after_revision:
+            # Only a whole read, at the next tick, shows that the store lacks nothing.
+            _watch(st, is_wanted=False)
         return
     except replica.GapError:
         st.count("configuration_gaps")
@@ -64,6 +67,7 @@
     st.step_daemon("configured")
     # The revision in the next message tells the peers that there is something to fetch;
     # those of other domains have watchers of their own and hear of it soon enough.
+    st.last_beat_s = float("-inf")
     for vm in st.own_peers():
         st.heartbeat_told_s.pop(vm, None)
 
--- a/packages/decisions/bilberryridge/decisions/membership_flow.py
+++ b/packages/decisions/bilberryridge/decisions/membership_flow.py
@@ -12,8 +12,10 @@
     state,
 )
 
-LIST_TOLD_INTERVAL_S = 2.0
+LIST_TOLD_INTERVAL_S = 1.0
+LIST_REPEAT_S = 4.0
 CONNECT_INTERVAL_S = 1.0
+BEAT_CHECK_INTERVAL_S = 0.2
 HEARTBEAT_REPEATS = 3
 """A heartbeat's own news are repeated after this many intervals."""
 
@@ -36,6 +38,8 @@
     # It has heard nothing yet of what was told before.
     st.told_rooms.clear()
     st.told_loads.clear()
+    st.passed_rooms.clear()
+    st.leaving_told_s = float("-inf")
 
 
 def on_peer_down(st: state.State, now_s: float, event: events.PeerDown) -> None:
@@ -66,6 +70,9 @@
 def on_tick(st: state.State, now_s: float) -> None:
     """Send what is due and choose whom to stay connected to."""
     st.members.begin(now_s)
+    if now_s - st.last_beat_s < BEAT_CHECK_INTERVAL_S:
+        return
+    st.last_beat_s = now_s
     for vm in st.members.expire(now_s, st.own_daemon_names()):
         st.changed("peer", vm, "connected", "silent")
     if now_s - st.last_connect_s >= CONNECT_INTERVAL_S:
@@ -111,10 +118,13 @@
     for peer in st.members.connected():
         if peer.vm not in own_daemons:
             from_outside |= st.members.told_leaving_by(now_s, peer.vm)
-    is_quiet = not (own or from_outside or st.told_leaving)
-    st.told_leaving = own | from_outside
-    if is_quiet:
+    now = own | from_outside
+    is_same = now == st.told_leaving
+    is_repeat = bool(now) and now_s - st.leaving_told_s >= LIST_REPEAT_S
+    if is_same and not is_repeat:
         return
+    st.told_leaving = now
+    st.leaving_told_s = now_s
     for peer in st.members.connected():
         # Word from outside goes on within the domain only, so it can't come back.
         told = own | from_outside if peer.vm in own_daemons else own
--- a/packages/utilities/bilberryridge/utilities/transfers.py
+++ b/packages/utilities/bilberryridge/utilities/transfers.py
@@ -122,9 +122,12 @@
             ended += [(curl, errno, text) for curl, errno, text in failed]
             for curl, errno, text in ended:
                 on_done = self._on_done.pop(curl, None)
+                if on_done is None:
+                    # Removed by the report of one that ended at the same time.
+                    continue
+                # A transfer that is removed no longer knows its connection.
+                on_done(curl, errno, text)
                 self._multi.remove_handle(curl)
-                if on_done is not None:
-                    on_done(curl, errno, text)
                 curl.close()
 
 
