--- a/packages/peers/bilberryridge/peers/peers.py
+++ b/packages/peers/bilberryridge/peers/peers.py
@@ -251,7 +251,10 @@
 
     def _check_time(self, conn: connection.Connection, now_s: float) -> None:
         if conn.is_overdue(self._cfg, now_s):
-            self._counts.count("peer_connections_timed_out", (conn.stage.value,))
+            cause = f"{conn.stage.value} for too long"
+            if conn.stage is connection.Stage.OPEN:
+                cause = "silent"
+            self._counts.count("peer_connections_failed", (cause,))
             self._lose(conn, now_s, is_reset=True)
         elif conn.is_quiet(self._cfg, now_s):
             conn.send_keepalive()
