--- a/packages/peers/bilberryridge/peers/codec.py
+++ b/packages/peers/bilberryridge/peers/codec.py
@@ -10,8 +10,9 @@
 RFC 8949, Concise Binary Object Representation.
 """
 
-import functools
 import io
+import operator
+from collections.abc import Callable
 from typing import Any, NoReturn
 
 import attrs
@@ -221,16 +222,27 @@
     return items
 
 
-def _array(item: Any) -> Any:
-    """Turn an attrs object into nested tuples."""
-    made: Any = type(item)
-    if attrs.has(made):
-        return tuple(_array(getattr(item, name)) for name in _names(made))
-    if type(item) is tuple:
-        return tuple(map(_array, item))
-    return item
+def _array(item: Any) -> tuple[Any, ...]:
+    """Turn a message or an object within one into nested tuples."""
+    return tuple(
+        tuple(map(_item, value)) if type(value) is tuple else value
+        for value in _VALUES[type(item)](item)
+    )
+
+
+def _item(item: Any) -> Any:
+    if type(item) in _FLAT:
+        return _VALUES[type(item)](item)
+    return _array(item) if type(item) in _VALUES else item
+
+
+def _values(made: Any) -> Callable[[Any], tuple[Any, ...]]:
+    names = [field.name for field in attrs.fields(made)]
+    if len(names) > 1:
+        return operator.attrgetter(*names)
+    return lambda item: (getattr(item, names[0]),)
 
 
-@functools.cache
-def _names(made: Any) -> tuple[str, ...]:
-    return tuple(field.name for field in attrs.fields(made))
+_FLAT = frozenset([messages.ServerLoad, messages.Room, documents.Version])
+"""Most items are of these, and they hold nothing nested."""
+_VALUES = {made: _values(made) for made in (*_FIELDS, *_FLAT, messages.DomainSummary)}
