--- a/packages/standins/bilberryridge/standins/bench/report.py
+++ b/packages/standins/bilberryridge/standins/bench/report.py
@@ -74,7 +74,7 @@
 
 
 def save(name: str, rows: Sequence[Row], about: dict[str, Any]) -> None:
-    """Write `name`.json, .md and .png below `RESULTS`."""
+    """Write `name`.json and .md below `RESULTS`."""
     RESULTS.mkdir(parents=True, exist_ok=True)
     found = [
         {"case": attrs.asdict(r.case), "policy": r.policy, "figures": r.figures}
@@ -86,10 +86,10 @@
     parts = (f"# Load results: {name}", facts, NOTE.strip(), table(rows))
     page = "\n\n".join((*parts, "## By class, organisation and phase", details(rows)))
     (RESULTS / f"{name}.md").write_text(page + "\n")
-    _plot(RESULTS / f"{name}.png", rows)
 
 
-def _plot(path: pathlib.Path, rows: Sequence[Row]) -> None:
+def plot(name: str, rows: Sequence[Row]) -> None:
+    """Write `name`.png below `RESULTS`."""
     shown = ("first_p99_s", "in_time", "away")
     labels = [f"{r.case.deployment} {r.case.name}: {r.policy}" for r in rows]
     height = 1.5 + 0.25 * len(rows)
@@ -102,7 +102,7 @@
         axis.set_title(key)
     axes[0].invert_yaxis()
     figure.tight_layout()
-    figure.savefig(path, dpi=70)
+    figure.savefig(RESULTS / f"{name}.png", dpi=70)
     pyplot.close(figure)
 
 
