--- a/packages/daemon/bilberryridge/daemon/control.py
+++ b/packages/daemon/bilberryridge/daemon/control.py
@@ -28,12 +28,15 @@
         Take an effect, from any thread.
     stop_accepting : callable
         Closes the edge's listeners.
+    leave_directory : callable
+        Takes this entry VM out of the platform's directory.
     """
 
     edge: Callable[[Any], None]
     peers: Callable[[Any], None]
     platform: Callable[[Any], None]
     stop_accepting: Callable[[], None]
+    leave_directory: Callable[[], None]
 
 
 class Control:
@@ -141,6 +144,8 @@
             self._spans.on_arrived(event.req)
         elif isinstance(event, events.AttemptEnded):
             self._spans.on_attempt_ended(event)
+        elif isinstance(event, events.StopAsked):
+            self._tasks.leave_directory()
         elif isinstance(event, events.AttemptBegan):
             self._observe_first_content(event, began_s)
         for effect in self._node.handle(began_s, event):
--- a/packages/daemon/bilberryridge/daemon/main.py
+++ b/packages/daemon/bilberryridge/daemon/main.py
@@ -106,7 +106,11 @@
             platform_task.open_platform(_platform_settings(cfg), inbox.put, recorder)
         )
         tasks = control.Tasks(
-            at_edge.put, at_peers.put, at_platform.put, at_edge.stop_accepting
+            at_edge.put,
+            at_peers.put,
+            at_platform.put,
+            at_edge.stop_accepting,
+            at_platform.leave,
         )
         controlling = control.Control(
             deciding,
--- a/packages/decisions/bilberryridge/decisions/tests/test_loads.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_loads.py
@@ -10,7 +10,7 @@
 def test_long_requests_that_fill_a_server_count_by_their_own_length():
     book = loads.LoadBook(10, random.Random(1))
     book.server("s", "pool", 2)
-    send = functools.partial(book.on_sent, n_prompt_tokens=10, priority=QUICK)
+    send = functools.partial(book.on_sent, n_prefill_tokens=10, priority=QUICK)
     for i in range(20):
         send(float(i), "s", f"short-{i}", n_output_tokens=20)
         book.on_ended(i + 0.4, f"short-{i}", True)
