--- a/packages/platform/bilberryridge/platform/loads.py
+++ b/packages/platform/bilberryridge/platform/loads.py
@@ -111,6 +111,12 @@
         self._random_state = random_state
         self._polled: dict[str, Polled] = {}
 
+    @property
+    def interval_s(self) -> float:
+        """Between two reads of one server; longer when there are many of them."""
+        at_most = self._cfg.max_load_reads_per_s
+        return max(self._cfg.load_interval_s, len(self._polled) / at_most)
+
     def replace(self, effect: effects.ReadLoads, now_s: float) -> None:
         """Read exactly these servers."""
         wanted = dict(effect.servers)
@@ -137,7 +143,7 @@
     def _read(self, server: str, due_s: float) -> None:
         # The time-out is not above the interval, so that no two reads overlap.
         # After a pause of the process, reads are not made up for.
-        next_due_s = max(due_s + self._cfg.load_interval_s, time.monotonic())
+        next_due_s = max(due_s + self.interval_s, time.monotonic())
         self._read_at(server, next_due_s)
         polled = self._polled[server]
         if polled.curl is not None:
--- a/packages/platform/bilberryridge/platform/settings.py
+++ b/packages/platform/bilberryridge/platform/settings.py
@@ -41,6 +41,9 @@
         Between checks that the watch misses nothing.
     list_interval_s, load_interval_s : float
         Between reads of the list of VMs and of a load report.
+    max_load_reads_per_s : float
+        With many servers each is read less often, so that reading them all keeps
+        within control's share of a core.
     directory_interval_s : float
         Between registrations in the directory.
     min_backoff_s, max_backoff_s : float
@@ -58,6 +61,7 @@
     check_interval_s: float = 2.0
     list_interval_s: float = 1.0
     load_interval_s: float = 1.0
+    max_load_reads_per_s: float = 8.0
     directory_interval_s: float = 30.0
     min_backoff_s: float = 0.2
     max_backoff_s: float = 2.0
