--- a/packages/decisions/bilberryridge/decisions/attempt_flow.py
+++ b/packages/decisions/bilberryridge/decisions/attempt_flow.py
@@ -6,7 +6,15 @@
 """
 
 from bilberryridge.core import outcomes
-from bilberryridge.decisions import effects, events, once_flow, request_flow, state
+from bilberryridge.decisions import (
+    effects,
+    ending,
+    events,
+    once_flow,
+    outcome_flow,
+    request_flow,
+    state,
+)
 
 MAX_ATTEMPTS = 3
 LEAST_TIME_LEFT_S = 0.05
@@ -92,17 +100,17 @@
 ) -> None:
     is_whole = event.result is events.AttemptResult.WHOLE
     if is_whole or (open_req.is_once and event.result is events.AttemptResult.FAILED):
-        once_flow.keep_outcome(st, now_s, open_req, event.answer)
+        outcome_flow.keep_outcome(st, now_s, open_req, event.answer)
         if not is_whole:
             st.emit(effects.PassAnswer(event.request_id))
         st.count("answers", open_req.service.name)
-        request_flow.close(st, open_req, "answer")
+        ending.close(st, open_req, "answer")
         return
     if open_req.state == "committed":
         # The edge has cut the caller's answer off; no refusal fits any more.
-        once_flow.settle_refused(st, open_req, outcomes.Outcome.UNKNOWN)
+        ending.settle_refused(st, open_req, outcomes.Outcome.UNKNOWN)
         st.count("answers_cut", open_req.service.name)
-        request_flow.close(st, open_req, "cut")
+        ending.close(st, open_req, "cut")
         return
     if _may_retry(st, now_s, open_req, event):
         _retry(st, now_s, open_req, event)
@@ -145,11 +153,9 @@
     if event.result is events.AttemptResult.FAILED:
         # A server's own error says more to the caller than any of ours.
         st.emit(effects.PassAnswer(event.request_id))
-        once_flow.settle_refused(st, open_req, outcomes.Outcome.UNKNOWN)
-        request_flow.close(st, open_req, "answer")
+        ending.settle_refused(st, open_req, outcomes.Outcome.UNKNOWN)
+        ending.close(st, open_req, "answer")
         return
     after_s = event.retry_after_s or RETRY_AFTER_FAILURE_S
     reason = _REASON_BY_RESULT[event.result]
-    request_flow.refuse(
-        st, open_req, reason, after_s, f"after {open_req.attempt} tries"
-    )
+    ending.refuse(st, open_req, reason, after_s, f"after {open_req.attempt} tries")
--- a/packages/decisions/bilberryridge/decisions/membership_flow.py
+++ b/packages/decisions/bilberryridge/decisions/membership_flow.py
@@ -7,7 +7,7 @@
     events,
     load_flow,
     membership,
-    once_flow,
+    outcome_flow,
     rendezvous,
     state,
 )
@@ -24,9 +24,9 @@
     messages.ConfigurationChanges: configuration_flow.on_changes,
     messages.LoadDelta: load_flow.on_delta,
     messages.Summaries: load_flow.on_summaries,
-    messages.OutcomeCopy: once_flow.on_copy,
-    messages.OutcomeWanted: once_flow.on_wanted,
-    messages.OutcomeMissing: once_flow.on_missing,
+    messages.OutcomeCopy: outcome_flow.on_copy,
+    messages.OutcomeWanted: outcome_flow.on_wanted,
+    messages.OutcomeMissing: outcome_flow.on_missing,
 }
 
 
--- a/packages/decisions/bilberryridge/decisions/node.py
+++ b/packages/decisions/bilberryridge/decisions/node.py
@@ -22,7 +22,9 @@
     load_flow,
     membership_flow,
     once_flow,
+    outcome_flow,
     request_flow,
+    screening,
     state,
     stop_flow,
 )
@@ -33,12 +35,12 @@
     membership_flow.on_tick(st, now_s)
     load_flow.on_tick(st, now_s)
     request_flow.on_tick(st, now_s)
-    once_flow.on_tick(st, now_s)
+    outcome_flow.on_tick(st, now_s)
     stop_flow.on_tick(st, now_s)
 
 
 _HANDLERS: dict[type, Callable] = {
-    events.RequestArrived: request_flow.on_arrived,
+    events.RequestArrived: screening.on_arrived,
     events.CallerGone: request_flow.on_caller_gone,
     events.AttemptBegan: attempt_flow.on_began,
     events.AttemptEnded: attempt_flow.on_ended,
