--- a/packages/decisions/bilberryridge/decisions/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/request_flow.py
@@ -24,8 +24,6 @@
 EXPECTED_TOKENS_PER_S = 25.0
 """Of one stream."""
 LEAST_WORK_S = 0.05
-WORK_MARGIN = 2.0
-"""For a server's own queue, and as the work is only estimated."""
 MAX_WORK_SHARE = 0.25
 """Of the service's deadline."""
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -254,8 +252,9 @@
         organisation=open_req.organisation.name,
         weight=open_req.organisation.weight,
         priority=req.priority,
-        # An answer that begins later would be cut off at its deadline.
-        deadline_s=open_req.deadline_s - WORK_MARGIN * work_s,
+        # Admission leaves time for the work once; as much again is for the server's own
+        # queue and for a wrong estimate, or the answer is cut off at its deadline.
+        deadline_s=open_req.deadline_s - work_s,
         cost=work_s,
     )
 
