Admission: a request put back without an entry of its own expires too

Cause: put_back made a new entry but no deadline for it, so a relayed request that was tried again and found no room stayed open for ever. Seen by the new test, which fails without the line.

--- a/packages/decisions/bilberryridge/decisions/admission.py
+++ b/packages/decisions/bilberryridge/decisions/admission.py
@@ -134,6 +134,7 @@
         queue = self._queue(item.service)
         if entry is None:
             entry = queue.entry_in_front(item)
+            heapq.heappush(self._deadlines, (item.deadline_s, item.request_id))
         queue.put_back(entry)
         self._add(entry)
 
--- a/packages/decisions/bilberryridge/decisions/tests/test_request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_request_flow.py
@@ -250,3 +250,20 @@
     node.open.update((f"x{i}", None) for i in range(state.MAX_OPEN_REQUESTS))
     running.send("north-0", "r", service=fleet.MODEL)
     assert refusal_of(running, "r").reason is R.BUSY
+
+
+def test_retry_that_finds_no_room_is_refused_at_its_deadline_too():
+    running = fleet.Fleet()
+    key = running.key_prefix("north-0") + "a"
+    running.send("north-1", "r", key, b"maples")
+    running.deliver_attempt()
+    (attempt,) = running.attempts
+    assert attempt.effect.envelope is None
+    fill(running, "north", fleet.BOOKINGS)
+    running.attempts.clear()
+    running.end(attempt, events.AttemptResult.REFUSED)
+    for _ in range(40):
+        running.tick(1.0)
+        fill(running, "north", fleet.BOOKINGS)
+        running.attempts.clear()
+    assert "r" not in running.nodes["north-0"].state.open
