--- a/packages/decisions/bilberryridge/decisions/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/request_flow.py
@@ -49,13 +49,14 @@
     # The sender can look elsewhere at once, so a forwarded request never waits here,
     # and never takes room that the own callers wait for.
     st.step(open_req, "queue")
+    waiting = waiting_of(open_req)
     is_owner = bool(open_req.scope)
     is_crowded = open_req.service.name in st.admission.services()
-    if not is_crowded and sending.try_place(st, now_s, open_req):
+    if not is_crowded and sending.try_place(st, now_s, open_req, waiting):
         return
     if is_owner:
         # Only the owner may run it, so it may wait here like the own callers'.
-        result = st.admission.offer(now_s, waiting_of(open_req))
+        result = st.admission.offer(now_s, waiting)
         if not isinstance(result, admission.Refused):
             _refuse_displaced(st, result)
             return
@@ -109,7 +110,7 @@
         if waiting is None:
             break
         open_req = st.open.get(waiting.request_id)
-        if open_req is not None and not sending.try_place(st, now_s, open_req):
+        if open_req is not None and not sending.try_place(st, now_s, open_req, waiting):
             skipped.append(waiting)
     for waiting in reversed(skipped):
         st.admission.put_back(waiting)
--- a/packages/decisions/bilberryridge/decisions/sending.py
+++ b/packages/decisions/bilberryridge/decisions/sending.py
@@ -7,6 +7,7 @@
 
 from bilberryridge.core import documents, outcomes, requests
 from bilberryridge.decisions import (
+    admission,
     effects,
     ending,
     once,
@@ -16,13 +17,16 @@
 )
 
 
-def try_place(st: state.State, now_s: float, open_req: state.Open) -> bool:
+def try_place(
+    st: state.State, now_s: float, open_req: state.Open, waiting: admission.Waiting
+) -> bool:
     """Send a request if it may be placed now; whether it no longer waits."""
     reason = _bring_up_to_date(st, open_req)
     if reason is not None:
         ending.refuse(st, open_req, reason)
         return True
-    choice = _choose(st, now_s, open_req)
+    reserved_share = st.admission.reserved_share(now_s, waiting)
+    choice = _choose(st, now_s, open_req, reserved_share)
     if choice is None:
         return False
     if isinstance(choice, placement.Local):
@@ -47,19 +51,21 @@
 
 
 def _choose(
-    st: state.State, now_s: float, open_req: state.Open
+    st: state.State, now_s: float, open_req: state.Open, reserved_share: float
 ) -> placement.Choice | None:
     servers = [
         c
         for c in candidates(st, open_req.service.name)
         if st.members.takes_new_work(now_s, c.vm)
     ]
-    choice = _choose_among(st, now_s, open_req, servers, open_req.excluded)
+    choice = _choose_among(
+        st, now_s, open_req, reserved_share, servers, open_req.excluded
+    )
     tried = {c.vm.name for c in servers} & open_req.excluded
     if choice is None and tried and len(tried) == len(servers):
         # Every server and domain was tried: the first one again beats none.
         excluded = open_req.excluded - tried
-        return _choose_among(st, now_s, open_req, servers, excluded)
+        return _choose_among(st, now_s, open_req, reserved_share, servers, excluded)
     return choice
 
 
@@ -67,6 +73,7 @@
     st: state.State,
     now_s: float,
     open_req: state.Open,
+    reserved_share: float,
     servers: list[placement.Candidate],
     excluded: frozenset[str],
 ) -> placement.Choice | None:
@@ -90,6 +97,7 @@
             open_req.service, open_req.organisation
         ),
         queue_wait_s=wait_s,
+        reserved_share=reserved_share,
     )
 
 
@@ -126,20 +134,24 @@
 ) -> None:
     req = open_req.req
     vm = st.deployment.vms[choice.server]
-    _note_sent(st, now_s, req, choice.load_key)
+    _note_sent(st, now_s, req, choice.load_key, choice.n_prefill_tokens)
     st.prefixes.learn(vm.name, req.prefix_digests)
     open_req.domain = ""
     _send(st, now_s, open_req, vm.name, vm.address, None, choice.why)
 
 
 def _note_sent(
-    st: state.State, now_s: float, req: requests.Request, load_key: str
+    st: state.State,
+    now_s: float,
+    req: requests.Request,
+    load_key: str,
+    n_prefill_tokens: int,
 ) -> None:
     st.loads.on_sent(
         now_s,
         load_key,
         req.request_id,
-        req.n_prompt_tokens,
+        n_prefill_tokens,
         req.n_output_tokens,
         req.priority,
     )
@@ -154,7 +166,8 @@
         return False
     open_req.domain = choice.domain
     # Until the next summary the request counts as busy there.
-    _note_sent(st, now_s, open_req.req, choice.load_key)
+    req = open_req.req
+    _note_sent(st, now_s, req, choice.load_key, req.n_prompt_tokens)
     envelope = make_envelope(st, now_s, open_req)
     st.count("forwards", open_req.service.name, choice.domain)
     _send(st, now_s, open_req, vm.name, vm.relay_address, envelope, choice.why)
