At most once: an owner of the own domain that is not heard is not waited for

Cause: a frozen owner without a connection still counted as live, so each caller waited for the first-byte deadline. Now a look for copies follows at once.

--- a/packages/decisions/bilberryridge/decisions/entry_flow.py
+++ b/packages/decisions/bilberryridge/decisions/entry_flow.py
@@ -81,12 +81,7 @@
         peer = st.members.peer(vm.name)
         is_own = vm.name == st.cfg.vm
         is_leaving = _is_leaving(st, vm)
-        is_own_domain = vm.domain == st.cfg.domain
-        is_there = (
-            st.members.is_heard_daemon(now_s, vm.name)
-            if is_own_domain
-            else st.members.is_live_daemon(now_s, vm.name)
-        )
+        is_there = st.is_there(now_s, vm)
         found.append(
             entry_ranking.RankedVm(
                 vm,
--- a/packages/decisions/bilberryridge/decisions/once_flow.py
+++ b/packages/decisions/bilberryridge/decisions/once_flow.py
@@ -174,7 +174,7 @@
     is_gone = (
         owner.vm == st.cfg.vm
         or st.members.is_gone_incarnation(owner.vm, owner.incarnation)
-        or not st.members.is_live_daemon(now_s, owner.vm)
+        or not st.is_there(now_s, vm)
     )
     if is_relayed or is_gone:
         outcome_flow.look_up(st, now_s, open_req, owner)
--- a/packages/decisions/bilberryridge/decisions/state.py
+++ b/packages/decisions/bilberryridge/decisions/state.py
@@ -228,6 +228,12 @@
         live = [name for name in names if self.members.is_heard_daemon(now_s, name)]
         return live if self.cfg.vm in live else [*live, self.cfg.vm]
 
+    def is_there(self, now_s: float, vm: documents.Vm) -> bool:
+        """Whether a daemon is taken to be there; in the own domain it must be heard."""
+        if vm.domain == self.cfg.domain:
+            return self.members.is_heard_daemon(now_s, vm.name)
+        return self.members.is_live_daemon(now_s, vm.name)
+
     def own_daemon_names(self) -> set[str]:
         """Return the names of the entry VMs of the own failure domain."""
         return {vm.name for vm in self.domain_daemons(self.cfg.domain)}
