--- a/packages/decisions/bilberryridge/decisions/costs.py
+++ b/packages/decisions/bilberryridge/decisions/costs.py
@@ -9,6 +9,7 @@
 bilberryridge.decisions.placement : chooses among the candidates.
 """
 
+import zlib
 from collections.abc import Mapping, Sequence
 
 import attrs
@@ -17,6 +18,7 @@
 from bilberryridge.decisions import loads as load_books
 
 PREFILL_TOKENS_PER_S = 5000.0
+MOST_BLOCK_TOKENS = 64.0
 DEFAULT_HOLD_S = 1.0
 BUSY_PRICE_S = 0.1
 QUEUE_SHARE = 0.125
@@ -40,6 +42,8 @@
     domain, region : str
     one_way_s : float
         Delay of the link to it.
+    seed : int
+        Of its name, for rendezvous hashing.
     """
 
     vm: documents.Vm
@@ -47,6 +51,11 @@
     domain: str
     region: str
     one_way_s: float = 0.0
+    seed: int = attrs.field(init=False, repr=False, eq=False)
+
+    @seed.default
+    def _seed(self) -> int:
+        return zlib.crc32(self.vm.name.encode()) << 16
 
 
 @attrs.frozen
@@ -155,7 +164,7 @@
         loads: load_books.LoadBook,
         weights: documents.Weights,
         home_region: str,
-        cached: Mapping[str, int],
+        cached: Mapping[str, float],
         reserved_share: float,
     ):
         self._now_s = now_s
@@ -168,7 +177,9 @@
         self._is_quick = req.priority is requests.Priority.QUICK
         self._n_output_tokens = req.n_output_tokens
         self._prefill_s = req.n_prompt_tokens / PREFILL_TOKENS_PER_S
-        self._block_s = self._prefill_s / max(len(req.prefix_digests), 1)
+        n_blocks = max(len(req.prefix_digests), 1)
+        n_block_tokens = min(req.n_prompt_tokens / n_blocks, MOST_BLOCK_TOKENS)
+        self._block_s = n_block_tokens / PREFILL_TOKENS_PER_S
         self._hold_s = loads.hold_s(service)
 
     def is_healthy(self, item: Candidate) -> bool:
--- a/packages/decisions/bilberryridge/decisions/placement.py
+++ b/packages/decisions/bilberryridge/decisions/placement.py
@@ -16,7 +16,7 @@
 """
 
 import random
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Sequence
 
 from bilberryridge.core import documents, requests
 from bilberryridge.decisions import costs
@@ -24,6 +24,10 @@
 from bilberryridge.decisions import prefixes as prefix_books
 
 MAX_LOOKED_AT = 24
+FAVOURED_SHARE = 0.8
+MIX_A = 0x9E3779B97F4A7C15
+MIX_B = 0xBF58476D1CE4E5B9
+MIX_MASK = 0xFFFFFFFFFFFFFFFF
 NEAR_EQUAL_S = 0.01
 NEAR_EQUAL_SHARE = 0.05
 DEFAULT_QUEUE_WAIT_S = 1.0
@@ -88,11 +92,12 @@
         and item.vm.name not in exclude
         and not item.vm.is_draining
     ]
-    cached = prefixes.best(req.prefix_digests) if req.prefix_digests else {}
+    digests = req.prefix_digests
+    looked_at = _look_at(usable, digests, random_state)
+    cached = _cached(looked_at, digests, prefixes, loads.n_daemons)
     scorer = costs.Scorer(
         now_s, req, service.name, loads, weights, home_region, cached, reserved_share
     )
-    looked_at = _some(usable, cached, random_state)
     healthy = [item for item in looked_at if scorer.is_healthy(item)]
     scored = scorer.score_servers(healthy)
     here_s = min((item.cost for item in scored), default=None)
@@ -112,17 +117,39 @@
     return _pick(scored, random_state)
 
 
-def _some(
-    items: list[Candidate], cached: Mapping[str, int], random_state: random.Random
+def _look_at(
+    items: list[Candidate], digests: Sequence[int], random_state: random.Random
 ) -> list[Candidate]:
     if len(items) <= MAX_LOOKED_AT:
         return items
-    start = random_state.randrange(len(items))
-    looked_at = (items + items)[start : start + MAX_LOOKED_AT]
-    if cached:
-        held = [item for item in items if item.vm.name in cached]
-        looked_at += [item for item in held if item not in looked_at]
-    return looked_at
+    # The same window for the same prefix, at every daemon that lists them in one order.
+    start = digests[0] if digests else random_state.randrange(len(items))
+    start %= len(items)
+    return (items + items)[start : start + MAX_LOOKED_AT]
+
+
+def _cached(
+    items: Sequence[Candidate],
+    digests: Sequence[int],
+    prefixes: prefix_books.PrefixBook,
+    n_daemons: int,
+) -> dict[str, float]:
+    """Blocks that each server is taken to hold.
+
+    One server is favoured for a prefix by rendezvous hashing, so that daemons that do
+    not know of each other's requests still send the same prefix to the same server.
+    """
+    if not digests or not items:
+        return {}
+    cached: dict[str, float] = dict(prefixes.best(digests, n_daemons))
+    favoured = max(items, key=lambda item: _mixed(digests[0] ^ item.seed))
+    cached.setdefault(favoured.vm.name, FAVOURED_SHARE * len(digests))
+    return cached
+
+
+def _mixed(number: int) -> int:
+    spread = number * MIX_A & MIX_MASK
+    return (spread ^ (spread >> 29)) * MIX_B & MIX_MASK
 
 
 def _some_remotes(
--- a/packages/decisions/bilberryridge/decisions/prefixes.py
+++ b/packages/decisions/bilberryridge/decisions/prefixes.py
@@ -1,10 +1,20 @@
-"""Which server holds which prompt prefixes in its cache, by what it was sent."""
+"""Which server holds which prompt prefixes in its cache, by what it was sent.
+
+Engines drop the prefixes used longest ago. The book counts the blocks that each server
+was sent since it was last sent a prefix, and believes the prefix gone when they fill
+the server's cache.
+"""
 
 import collections
 from collections.abc import Sequence
 
 MAX_SERVERS_A_DIGEST = 4
-MAX_STEPS = 16
+MAX_SERVERS = 2000
+MAX_STEPS = 8
+CACHE_BLOCKS = 2048
+
+Held = tuple[tuple[str, int], ...]
+"""Servers, each with its count of blocks when it was last sent the prefix."""
 
 
 class PrefixBook:
@@ -14,6 +24,8 @@
     ----------
     max_entries : int
         Bound on digests kept; the one used longest ago goes first.
+    n_cache_blocks : int
+        Blocks that one server's cache is taken to hold.
 
     Examples
     --------
@@ -24,58 +36,79 @@
     {'s1': 2, 's2': 1}
     """
 
-    def __init__(self, max_entries: int):
+    def __init__(self, max_entries: int, n_cache_blocks: int = CACHE_BLOCKS):
         self._max_entries = max_entries
-        self._servers: collections.OrderedDict[int, tuple[str, ...]]
-        self._servers = collections.OrderedDict()
+        self._n_cache_blocks = n_cache_blocks
+        self._held: collections.OrderedDict[int, Held] = collections.OrderedDict()
+        self._n_sent: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._n_sent_most = 0
 
     def __len__(self) -> int:
-        return len(self._servers)
+        return len(self._held)
 
     def learn(self, server: str, digests: Sequence[int]) -> None:
-        """Note that the server has computed the prefixes, the shortest first."""
-        # The shortest is the freshest, so that a long prefix is dropped before the
-        # short one that it extends.
-        for digest in reversed(digests):
-            held = self._servers.get(digest, ())
-            if not held or held[0] != server:
-                others = tuple(name for name in held if name != server)
-                held = (server, *others)[:MAX_SERVERS_A_DIGEST]
-                self._servers[digest] = held
-            self._servers.move_to_end(digest)
-        while len(self._servers) > self._max_entries:
-            self._servers.popitem(last=False)
+        """Note that the server computes the prefixes, the shortest first."""
+        n_new = len(digests) - self.best(digests).get(server, 0)
+        n_sent = self._n_sent.get(server)
+        if n_sent is None:
+            # Beyond all counts of before, so that none of them is taken for its own.
+            n_sent = self._n_sent_most + self._n_cache_blocks + 1
+        self._n_sent[server] = n_sent + n_new
+        self._n_sent.move_to_end(server)
+        self._n_sent_most = max(self._n_sent_most, n_sent + n_new)
+        self._note(server, n_sent + n_new, digests)
+        while len(self._held) > self._max_entries:
+            self._held.popitem(last=False)
+        if len(self._n_sent) > MAX_SERVERS:
+            self._n_sent.popitem(last=False)
 
     def n_cached_blocks(self, server: str, digests: Sequence[int]) -> int:
-        """How many leading blocks of the prompt the server has computed."""
+        """How many leading blocks of the prompt the server is believed to hold."""
         return self.best(digests).get(server, 0)
 
-    def best(self, digests: Sequence[int]) -> dict[str, int]:
-        """The servers that hold a prefix, with the number of leading blocks."""
+    def best(self, digests: Sequence[int], n_daemons: int = 1) -> dict[str, int]:
+        """The servers believed to hold a prefix, with the number of leading blocks.
+
+        Parameters
+        ----------
+        digests : sequence of int
+        n_daemons : int
+            Daemons that send to these servers as much as this one.
+        """
         n_known = self._n_known(digests)
         found: dict[str, int] = {}
         stride = max(1, n_known // MAX_STEPS)
         for n_blocks in range(n_known, 0, -stride):
-            for server in self._servers.get(digests[n_blocks - 1], ()):
-                found.setdefault(server, n_blocks)
+            for server, n_then in self._held.get(digests[n_blocks - 1], ()):
+                n_since = self._n_sent.get(server, 0) - n_then
+                if 0 <= n_since * n_daemons <= self._n_cache_blocks:
+                    found.setdefault(server, n_blocks)
         return found
 
     def forget(self, server: str) -> None:
-        """Drop a server whose cache is gone."""
-        for digest, held in list(self._servers.items()):
-            if server not in held:
-                continue
-            others = tuple(name for name in held if name != server)
-            if others:
-                self._servers[digest] = others
-            else:
-                del self._servers[digest]
+        """Drop what a server held: it restarted or is gone."""
+        self._n_sent.pop(server, None)
+
+    def _note(self, server: str, n_sent: int, digests: Sequence[int]) -> None:
+        # Most digests of a prompt are held by the same servers, and then share a value.
+        changed: dict[Held, Held] = {}
+        # The shortest is the freshest, so that a long prefix is dropped before the
+        # short one that it extends.
+        for digest in reversed(digests):
+            held = self._held.get(digest, ())
+            after = changed.get(held)
+            if after is None:
+                others = tuple(item for item in held if item[0] != server)
+                after = ((server, n_sent), *others)[:MAX_SERVERS_A_DIGEST]
+                changed[held] = after
+            self._held[digest] = after
+            self._held.move_to_end(digest)
 
     def _n_known(self, digests: Sequence[int]) -> int:
         low, high = 0, len(digests)
         while low < high:
             middle = (low + high + 1) // 2
-            if digests[middle - 1] in self._servers:
+            if digests[middle - 1] in self._held:
                 low = middle
             else:
                 high = middle - 1
--- a/packages/standins/bilberryridge/standins/queueing/engines.py
+++ b/packages/standins/bilberryridge/standins/queueing/engines.py
@@ -14,7 +14,7 @@
 PREFILL_TOKENS_PER_S = 6000.0
 LEAST_GAP_S = 0.02
 FULL_GAP_S = 0.04
-N_CACHED_PREFIXES = 6
+CACHED_TOKENS = 25_600
 
 
 @attrs.frozen
@@ -107,7 +107,7 @@
         self._numbers = itertools.count()
         self._running: set[Attempt] = set()
         self._prefilled_s = 0.0
-        self._cache: collections.OrderedDict[tuple[int, bool], None]
+        self._cache: collections.OrderedDict[tuple[int, bool], int]
         self._cache = collections.OrderedDict()
 
     @property
@@ -179,8 +179,10 @@
     def _has_prefix(self, job: Job) -> bool:
         key = (job.organisation, job.is_long)
         is_cached = key in self._cache
-        self._cache[key] = None
+        own = (-1 - job.number, job.is_long)
+        self._cache[own] = job.n_prompt_tokens - job.n_prefix_tokens
+        self._cache[key] = job.n_prefix_tokens
         self._cache.move_to_end(key)
-        if len(self._cache) > N_CACHED_PREFIXES:
+        while sum(self._cache.values()) > CACHED_TOKENS:
             self._cache.popitem(last=False)
         return is_cached
--- a/packages/standins/bilberryridge/standins/queueing/policies.py
+++ b/packages/standins/bilberryridge/standins/queueing/policies.py
@@ -10,9 +10,11 @@
 
 SERVICE = "model"
 REGION = "home"
-PREFIX_BLOCK_TOKENS = 100
+PREFIX_BLOCK_TOKENS = 64
+MAX_BLOCKS = 32
+CACHE_BLOCKS = 400
 N_UNBOUNDED_TRIES = 3
-MAX_PUT_BACK = 4
+MAX_PUT_BACK = 8
 
 
 class Baseline:
@@ -126,7 +128,7 @@
         self._region = region
         self._weights = weights or documents.Weights()
         self._random_state = random_state
-        self._prefixes = prefixes.PrefixBook(20_000)
+        self._prefixes = prefixes.PrefixBook(20_000, CACHE_BLOCKS)
         self._admission = admission.Admission(random_state)
         self._budget = retries.RetryBudget()
         self._flows: dict[str, daemons.Flow] = {}
@@ -216,8 +218,8 @@
 
     def _place(self) -> None:
         now_s = self._daemon.loop.now_s
-        unplaced: list[admission.Waiting] = []
-        while len(unplaced) < MAX_PUT_BACK:
+        n_put_back = 0
+        while n_put_back < MAX_PUT_BACK:
             item = self._admission.take(now_s, SERVICE)
             if item is None:
                 break
@@ -227,12 +229,11 @@
                 continue
             choice = self._choose(now_s, flow, item)
             if choice is None:
-                unplaced.append(item)
+                self._admission.put_back(item)
+                n_put_back += 1
                 continue
             del self._flows[item.request_id]
             self._send(now_s, flow, choice)
-        for item in reversed(unplaced):
-            self._admission.put_back(item)
 
     def _choose(
         self, now_s: float, flow: daemons.Flow, item: admission.Waiting
@@ -289,7 +290,7 @@
 
 def request_of(job: engines.Job) -> requests.Request:
     """The job as the decisions see it."""
-    n_blocks = job.n_prompt_tokens // PREFIX_BLOCK_TOKENS
+    n_blocks = min(job.n_prompt_tokens // PREFIX_BLOCK_TOKENS, MAX_BLOCKS)
     n_shared = job.n_prefix_tokens // PREFIX_BLOCK_TOKENS
     digests = tuple(
         hash((job.organisation, job.is_long, index, index >= n_shared and job.number))
