--- a/packages/decisions/bilberryridge/decisions/admission.py
+++ b/packages/decisions/bilberryridge/decisions/admission.py
@@ -29,7 +29,7 @@
 RETRY_JITTER = 0.5
 WAIT_SAFETY = 1.5
 LONG_RESERVE = 0.2
-OVER_SHARE_RESERVE = 0.1
+OVER_SHARE_RESERVE = 0.7
 
 
 Waiting = fair_queue.Waiting
@@ -182,7 +182,8 @@
         """The share of each server's slots to be kept free from a request just taken.
 
         A quick request finds a slot at once when the long ones never fill the servers,
-        and an organisation within its share when those above theirs do not.
+        and an organisation within its share when those above theirs do not. The
+        more the others lately had, the more is kept from one above its share.
         """
         queue = self._queue(item.service)
         entry = self._taken.get(item.request_id)
@@ -191,7 +192,8 @@
         if item.priority is requests.Priority.LONG and not is_due:
             share = LONG_RESERVE
         if queue.is_over_share(now_s, item.organisation):
-            share = max(share, OVER_SHARE_RESERVE)
+            others = queue.others_part(now_s, item.organisation)
+            share = max(share, OVER_SHARE_RESERVE * others)
         return share
 
     def _queue(self, service: str) -> fair_queue.ServiceQueue:
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/class_queue.py
@@ -0,0 +1,160 @@
+"""The waiting requests of one class of a service, one line for each organisation."""
+
+import collections
+import heapq
+
+import attrs
+
+from bilberryridge.core import requests
+from bilberryridge.decisions import meters, shares
+
+
+@attrs.frozen
+class Waiting:
+    """A request that waits for its turn.
+
+    Parameters
+    ----------
+    request_id, service, organisation : str
+    weight : float
+        The organisation's.
+    priority : requests.Priority
+    deadline_s : float
+        Monotonic time after which it need not be sent.
+    cost : float
+        Expected server time, in seconds.
+    """
+
+    request_id: str
+    service: str
+    organisation: str
+    weight: float
+    priority: requests.Priority
+    deadline_s: float
+    cost: float = 1.0
+
+
+@attrs.define(eq=False)
+class Entry:
+    """A request in the queue with its place.
+
+    Parameters
+    ----------
+    item : Waiting
+    tag : float
+        Virtual time at which its turn comes.
+    number : int
+        Puts those of one tag in order.
+    is_ranked : bool
+        Whether it stands for its organisation among the others.
+    credit : float
+        Change of the long class's credit when it was taken.
+    is_metered : bool
+        Whether it was counted when it was taken.
+    virtual_before : float
+        Virtual time before it was taken.
+    """
+
+    item: Waiting
+    tag: float
+    number: int
+    is_ranked: bool = False
+    credit: float = 0.0
+    is_metered: bool = False
+    virtual_before: float = 0.0
+
+    @property
+    def is_floor_due(self) -> bool:
+        """Whether it was taken because the long class is owed its floor."""
+        return self.credit < 0.0
+
+
+class ClassQueue:
+    """One class of a service.
+
+    Parameters
+    ----------
+    meter : meters.Meter
+        How fast the class is placed.
+    """
+
+    def __init__(self, meter: meters.Meter):
+        self.meter = meter
+        self.n_waiting = 0
+        self.virtual = 0.0
+        self.backlog = 0.0
+        self.weight = 0.0
+        self._lines: dict[str, collections.deque[Entry]] = {}
+        self._ranked: list[tuple[float, int, Entry]] = []
+        self._blocked: set[str] = set()
+        self._blocked_s = 0.0
+        self._aside: list[Entry] = []
+
+    def head(self, now_s: float) -> Entry | None:
+        """The entry whose turn it is; organisations blocked now are passed over."""
+        if now_s != self._blocked_s:
+            self._unblock(now_s)
+        while self._ranked:
+            entry = self._ranked[0][2]
+            line = self._lines.get(entry.item.organisation)
+            is_first = line is not None and line[0] is entry
+            if is_first and entry.item.organisation not in self._blocked:
+                return entry
+            heapq.heappop(self._ranked)
+            entry.is_ranked = False
+            if is_first:
+                self._aside.append(entry)
+        return None
+
+    def block(self, now_s: float, organisation: str) -> None:
+        """Pass over the organisation for the rest of this moment."""
+        if now_s != self._blocked_s:
+            self._unblock(now_s)
+        self._blocked.add(organisation)
+
+    def insert(self, entry: Entry, share: shares.Share, is_first: bool) -> None:
+        """Add an entry at the end of its organisation's line, or before all of it."""
+        index = entry.item.priority.value
+        if share.backlog[index] <= 0.0:
+            self.weight += share.weight
+        share.backlog[index] += entry.item.cost
+        self.backlog += entry.item.cost
+        self.n_waiting += 1
+        line = self._lines.setdefault(entry.item.organisation, collections.deque())
+        if is_first:
+            line.appendleft(entry)
+        else:
+            line.append(entry)
+        self._rank(line[0])
+
+    def extract(self, entry: Entry, share: shares.Share) -> None:
+        """Remove an entry."""
+        index = entry.item.priority.value
+        self.n_waiting -= 1
+        self.backlog = self.backlog - entry.item.cost if self.n_waiting else 0.0
+        left = share.backlog[index] - entry.item.cost
+        share.backlog[index] = left if left > meters.LEAST_WORK_S else 0.0
+        if not share.backlog[index]:
+            self.weight = self.weight - share.weight if self.n_waiting else 0.0
+        line = self._lines[entry.item.organisation]
+        line.remove(entry)
+        if line:
+            self._rank(line[0])
+        else:
+            del self._lines[entry.item.organisation]
+
+    def _rank(self, entry: Entry) -> None:
+        if entry.is_ranked:
+            return
+        entry.is_ranked = True
+        heapq.heappush(self._ranked, (entry.tag, entry.number, entry))
+
+    def _unblock(self, now_s: float) -> None:
+        self._blocked_s = now_s
+        self._blocked.clear()
+        aside = self._aside
+        self._aside = []
+        for entry in aside:
+            line = self._lines.get(entry.item.organisation)
+            if line is not None and line[0] is entry:
+                self._rank(entry)
--- a/packages/decisions/bilberryridge/decisions/fair_queue.py
+++ b/packages/decisions/bilberryridge/decisions/fair_queue.py
@@ -10,134 +10,18 @@
 Networking 5 (5), 1997.
 """
 
-import heapq
-import math
-
-import attrs
-
 from bilberryridge.core import requests
-from bilberryridge.decisions import shares
+from bilberryridge.decisions import class_queue, meters, shares
 
 LONG_FLOOR = 0.2
 QUICK_RATE_WINDOW_S = 5.0
 LONG_RATE_WINDOW_S = 30.0
-PRIOR_TIME_S = 1.0
-PRIOR_WAIT_S = 1.0
-LEAST_WORK_S = 1e-9
 
 QUICK = requests.Priority.QUICK.value
 LONG = requests.Priority.LONG.value
 
-
-@attrs.frozen
-class Waiting:
-    """A request that waits for its turn.
-
-    Parameters
-    ----------
-    request_id, service, organisation : str
-    weight : float
-        The organisation's.
-    priority : requests.Priority
-    deadline_s : float
-        Monotonic time after which it need not be sent.
-    cost : float
-        Expected server time, in seconds.
-    """
-
-    request_id: str
-    service: str
-    organisation: str
-    weight: float
-    priority: requests.Priority
-    deadline_s: float
-    cost: float = 1.0
-
-
-@attrs.define(eq=False)
-class Entry:
-    """A request in the queue with its place."""
-
-    item: Waiting
-    tag: float
-    number: int
-    is_removed: bool = False
-    credit: float = 0.0
-    is_metered: bool = False
-
-    @property
-    def is_floor_due(self) -> bool:
-        """Whether it was taken because the long class is owed its floor."""
-        return self.credit < 0.0
-
-
-@attrs.define
-class Meter:
-    """How much work a second is placed while requests wait for it.
-
-    Parameters
-    ----------
-    window_s : float
-        Waiting time over which what was seen fades.
-    """
-
-    window_s: float
-    served: float = 0.0
-    time_s: float = 0.0
-
-    def note_time(self, elapsed_s: float) -> None:
-        """Count time in which a request waited."""
-        kept = math.exp(-elapsed_s / self.window_s)
-        self.time_s = self.time_s * kept + elapsed_s
-        self.served *= kept
-
-    def time_for(self, work: float) -> float:
-        """How long it takes to place the work; a guess when little was seen yet."""
-        if work < LEAST_WORK_S:
-            return 0.0
-        guessed_s = max(PRIOR_TIME_S - self.time_s, 0.0)
-        served = max(self.served, 0.0) + guessed_s * work / PRIOR_WAIT_S
-        if served < LEAST_WORK_S:
-            return math.inf
-        return work * (self.time_s + guessed_s) / served
-
-
-@attrs.define
-class _Class:
-    meter: Meter
-    heap: list[tuple[float, int, Entry]] = attrs.field(factory=list)
-    n_waiting: int = 0
-    virtual: float = 0.0
-    backlog: float = 0.0
-    weight: float = 0.0
-
-    def head(self) -> Entry | None:
-        while self.heap and self.heap[0][2].is_removed:
-            heapq.heappop(self.heap)
-        return self.heap[0][2] if self.heap else None
-
-    def insert(self, entry: Entry, share: shares.Share) -> None:
-        index = entry.item.priority.value
-        if share.backlog[index] <= 0.0:
-            self.weight += share.weight
-        share.backlog[index] += entry.item.cost
-        self.backlog += entry.item.cost
-        self.n_waiting += 1
-        entry.is_removed = False
-        heapq.heappush(self.heap, (entry.tag, entry.number, entry))
-
-    def extract(self, entry: Entry, share: shares.Share) -> None:
-        index = entry.item.priority.value
-        entry.is_removed = True
-        self.n_waiting -= 1
-        self.backlog = self.backlog - entry.item.cost if self.n_waiting else 0.0
-        left = share.backlog[index] - entry.item.cost
-        share.backlog[index] = left if left > LEAST_WORK_S else 0.0
-        if not share.backlog[index]:
-            self.weight = self.weight - share.weight if self.n_waiting else 0.0
-        if len(self.heap) > 2 * self.n_waiting + 16:
-            self.heap = [place for place in self.heap if not place[2].is_removed]
-            heapq.heapify(self.heap)
+Waiting = class_queue.Waiting
+Entry = class_queue.Entry
 
 
 class ServiceQueue:
@@ -146,8 +30,8 @@
     def __init__(self) -> None:
         # Quick requests may use all that is placed, long ones what is left to them.
         self._classes = (
-            _Class(Meter(QUICK_RATE_WINDOW_S)),
-            _Class(Meter(LONG_RATE_WINDOW_S)),
+            class_queue.ClassQueue(meters.Meter(QUICK_RATE_WINDOW_S)),
+            class_queue.ClassQueue(meters.Meter(LONG_RATE_WINDOW_S)),
         )
         self._shares = shares.Shares()
         self._number = 0
@@ -173,16 +57,21 @@
         share.finish[item.priority.value] = tag + item.cost / item.weight
         self._number += 1
         entry = Entry(item, tag, self._number)
-        self._classes[item.priority.value].insert(entry, share)
+        self._classes[item.priority.value].insert(entry, share, is_first=False)
         return entry
 
     def entry_in_front(self, item: Waiting) -> Entry:
         """A place before all others, for a request that had one."""
         self._number += 1
-        return Entry(item, self._classes[item.priority.value].virtual, -self._number)
+        virtual = self._classes[item.priority.value].virtual
+        return Entry(item, virtual, -self._number, virtual_before=virtual)
 
     def put_back(self, entry: Entry) -> None:
-        """Return an entry to its place, as if it had never been taken."""
+        """Return an entry to its place, as if it had never been taken.
+
+        The rest of its organisation's line is passed over for this moment, so that
+        one that can't be placed does not hold up the others.
+        """
         item = entry.item
         self._is_blocked = True
         self._long_credit -= entry.credit
@@ -190,15 +79,19 @@
         self._meter(entry, -1.0)
         self._shares.note_usage(self._noted_s, item.organisation, -item.cost)
         share = self._shares.note_asked(self._noted_s, item.organisation, item.weight)
-        self._classes[item.priority.value].insert(entry, share)
+        one = self._classes[item.priority.value]
+        # What could not be placed must not bring others behind it.
+        one.virtual = min(one.virtual, entry.virtual_before)
+        one.insert(entry, share, is_first=True)
+        one.block(self._noted_s, item.organisation)
 
     def take(self, now_s: float) -> Entry | None:
         """Remove and return the entry whose turn it is."""
         self._note_time(now_s)
-        quick, long = (one.head() for one in self._classes)
+        quick, long = (one.head(now_s) for one in self._classes)
         entry = quick or long
         if entry is None:
-            self._is_blocked = False
+            self._is_blocked = len(self) > 0
             return None
         if long is None:
             self._long_credit = 0.0
@@ -242,10 +135,14 @@
         """Whether the organisation lately had far more than its share."""
         return self._shares.is_over(now_s, organisation)
 
+    def others_part(self, now_s: float, organisation: str) -> float:
+        """The part of the server time given out lately that others had."""
+        return self._shares.others_part(now_s, organisation)
+
     def _charge(self, now_s: float, entry: Entry) -> None:
         item = entry.item
         one = self._classes[item.priority.value]
-        heapq.heappop(one.heap)
+        entry.virtual_before = one.virtual
         one.virtual = max(one.virtual, entry.tag)
         share = self._shares.find(item.organisation)
         if share is not None:
--- a/packages/decisions/bilberryridge/decisions/loads.py
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -130,9 +130,7 @@
         self._open[request_id] = _Open(server, now_s, priority)
         state = self.server(server)
         state.note_change(now_s, 1)
-        state.note_pending(
-            request_id, server_state.Pending(now_s, n_prefill_tokens)
-        )
+        state.note_pending(request_id, server_state.Pending(now_s, n_prefill_tokens))
 
     def on_began(self, now_s: float, request_id: str, waited_s: float) -> None:
         """Note the first content of a request."""
--- a/packages/decisions/bilberryridge/decisions/shares.py
+++ b/packages/decisions/bilberryridge/decisions/shares.py
@@ -11,7 +11,8 @@
 import attrs
 
 ACTIVE_S = 10.0
-OVER_SHARE_RATIO = 2.0
+USAGE_WINDOW_S = 30.0
+OVER_SHARE_RATIO = 3.0
 MAX_ORGANISATIONS = 4096
 """More than can wait at once, so that one without a request waiting can be dropped."""
 
@@ -30,7 +31,7 @@
 
     def at(self, now_s: float) -> float:
         """What is left of it now."""
-        return self.amount * math.exp(-max(now_s - self.noted_s, 0.0) / ACTIVE_S)
+        return self.amount * math.exp(-max(now_s - self.noted_s, 0.0) / USAGE_WINDOW_S)
 
 
 @attrs.define
@@ -100,6 +101,14 @@
         fair = share.weight / max(self._weight, share.weight)
         return share.usage.at(now_s) > OVER_SHARE_RATIO * fair * self._usage.at(now_s)
 
+    def others_part(self, now_s: float, organisation: str) -> float:
+        """The part of the server time given out lately that others had."""
+        share = self._shares.get(organisation)
+        total = self._usage.at(now_s)
+        if share is None or total <= 0.0:
+            return 1.0
+        return min(max(1.0 - share.usage.at(now_s) / total, 0.0), 1.0)
+
     def drop_idle(self, now_s: float) -> None:
         """Drop the organisations that no longer ask."""
         while self._shares:
