--- a/packages/decisions/bilberryridge/decisions/admission.py
+++ b/packages/decisions/bilberryridge/decisions/admission.py
@@ -128,6 +128,12 @@
             self._taken.popitem(last=False)
         return entry.item
 
+    def look_again(self, now_s: float, service: str) -> None:
+        """Let `take` give again what was put back, as there may be room now."""
+        queue = self._queues.get(service)
+        if queue is not None:
+            queue.unblock(now_s)
+
     def put_back(self, item: Waiting) -> None:
         """Return a request that was taken to where it stood."""
         entry = self._taken.pop(item.request_id, None)
--- a/packages/decisions/bilberryridge/decisions/class_queue.py
+++ b/packages/decisions/bilberryridge/decisions/class_queue.py
@@ -93,7 +93,7 @@
     def head(self, now_s: float) -> Entry | None:
         """The entry whose turn it is; organisations blocked now are passed over."""
         if now_s != self._blocked_s:
-            self._unblock(now_s)
+            self.unblock(now_s)
         while self._ranked:
             entry = self._ranked[0][2]
             line = self._lines.get(entry.item.organisation)
@@ -109,7 +109,7 @@
     def block(self, now_s: float, organisation: str) -> None:
         """Pass over the organisation for the rest of this moment."""
         if now_s != self._blocked_s:
-            self._unblock(now_s)
+            self.unblock(now_s)
         self._blocked.add(organisation)
 
     def insert(self, entry: Entry, share: shares.Share, is_first: bool) -> None:
@@ -149,7 +149,8 @@
         entry.is_ranked = True
         heapq.heappush(self._ranked, (entry.tag, entry.number, entry))
 
-    def _unblock(self, now_s: float) -> None:
+    def unblock(self, now_s: float) -> None:
+        """Look at every organisation again: there may be room now."""
         self._blocked_s = now_s
         self._blocked.clear()
         aside = self._aside
--- a/packages/decisions/bilberryridge/decisions/fair_queue.py
+++ b/packages/decisions/bilberryridge/decisions/fair_queue.py
@@ -66,6 +66,11 @@
         virtual = self._classes[item.priority.value].virtual
         return Entry(item, virtual, -self._number, virtual_before=virtual)
 
+    def unblock(self, now_s: float) -> None:
+        """Look at every organisation again: there may be room now."""
+        for one in self._classes:
+            one.unblock(now_s)
+
     def put_back(self, entry: Entry) -> None:
         """Return an entry to its place, as if it had never been taken.
 
--- a/packages/decisions/bilberryridge/decisions/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/request_flow.py
@@ -104,6 +104,7 @@
 
 def dispatch(st: state.State, now_s: float, service: str) -> None:
     """Place waiting requests while there is room."""
+    st.admission.look_again(now_s, service)
     skipped: list[admission.Waiting] = []
     while len(skipped) < MAX_SKIPPED:
         waiting = st.admission.take(now_s, service)
