--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,10 @@
 	$(BIN)/python -m bilberryridge.standins.demo $(if $(KEEP),--keep)
 
 bench: $(STAMP)
-	$(BIN)/python -m bilberryridge.standins.bench
+	$(BIN)/python -m bilberryridge.standins.bench --name full
 
 bench-quick: $(STAMP)
-	$(BIN)/python -m bilberryridge.standins.bench --quick
+	$(BIN)/python -m bilberryridge.standins.bench --quick --name quick
 
 format: $(STAMP)
 	-$(BIN)/ruff check --fix packages
