--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/tests/test_loads.py
@@ -0,0 +1,183 @@
+"""What is expected of servers: lagging reports, failures, return."""
+
+import math
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from bilberryridge.core import requests
+from bilberryridge.decisions import health, loads
+
+QUICK = requests.Priority.QUICK
+
+
+def make_book(n_servers=4, bound=100, n_slots=16):
+    book = loads.LoadBook(bound, random.Random(1))
+    for index in range(n_servers):
+        book.server(f"s{index}", "model", n_slots)
+    return book
+
+
+def send(book, now_s, server, request_id, n_prefill_tokens=0):
+    book.on_sent(now_s, server, request_id, n_prefill_tokens, 10, QUICK)
+
+
+def fail(book, now_s, server, n=3):
+    for index in range(n):
+        send(book, now_s, server, f"{server}-{now_s}-{index}")
+        book.on_ended(now_s, f"{server}-{now_s}-{index}", False)
+
+
+def n_expected(book, now_s, server):
+    estimate = book.estimate(now_s, server)
+    return estimate.n_busy + estimate.n_waiting
+
+
+CORRECTED = [
+    # sent before the report, after it, ended after it; running by the report, expected
+    (2, 0, 0, 5, 5.0),
+    (0, 3, 0, 5, 8.0),
+    (2, 0, 2, 5, 3.0),
+    (2, 3, 0, 0, 5.0),
+    (0, 0, 0, 20, 20.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("n_before", "n_after", "n_ended", "n_running", "expected"), CORRECTED
+)
+def test_a_report_is_corrected_by_own_traffic_since(
+    n_before, n_after, n_ended, n_running, expected
+):
+    book = make_book()
+    for index in range(n_before):
+        send(book, 1.0, "s0", f"before-{index}")
+    for index in range(n_after):
+        send(book, 3.0, "s0", f"after-{index}")
+    for index in range(n_ended):
+        book.on_ended(3.0, f"before-{index}", None)
+    book.on_report(3.01, "s0", n_running, 0, age_s=1.0)
+    assert abs(n_expected(book, 3.01, "s0") - expected) < 1.0
+
+
+def test_what_was_sent_since_a_report_counts_for_each_daemon():
+    book = make_book()
+    book.n_daemons = 3
+    book.on_report(0.0, "s0", 0, 0, age_s=0.0)
+    send(book, 0.1, "s0", "a")
+    assert n_expected(book, 0.1, "s0") == pytest.approx(3.0, abs=0.1)
+
+
+def test_an_unknown_load_is_that_of_the_pool():
+    book = make_book()
+    for server in ("s0", "s1", "s2"):
+        book.on_report(0.0, server, 12, 0, age_s=0.0)
+    assert n_expected(book, 0.1, "s3") == pytest.approx(12.0)
+    book.on_report(0.2, "s3", 0, 0, age_s=60.0)
+    assert n_expected(book, 0.5, "s3") > 8.0
+
+
+def test_an_older_report_does_not_replace_a_newer_one():
+    book = make_book()
+    book.on_report(10.0, "s0", 9, 0, age_s=0.5)
+    book.on_report(10.1, "s0", 2, 0, age_s=5.0)
+    assert n_expected(book, 10.1, "s0") > 8.0
+
+
+def test_a_failing_detector_leaves_half_of_the_pool():
+    book = make_book(n_servers=5)
+    for server in range(5):
+        fail(book, 1.0, f"s{server}")
+    ejected = [name for name in range(5) if book.is_ejected(1.1, f"s{name}")]
+    assert len(ejected) == 2
+
+
+def test_ejections_double_are_jittered_and_end_in_a_ramp():
+    lengths = []
+    for seed in range(8):
+        state = health.Health()
+        now_s = 0.0
+        for expected_s in (2.0, 4.0, 8.0):
+            state.eject(now_s, random.Random(seed))
+            holds_s = state.ejected_until_s - now_s
+            assert expected_s * 0.69 < holds_s < expected_s * 1.31
+            now_s = state.ejected_until_s
+        lengths.append(now_s)
+        assert not state.is_ejected(now_s)
+        assert state.ramp_share(now_s) == health.RAMP_START
+        assert state.ramp_share(now_s + health.RAMP_S) == 1.0
+    assert len(set(lengths)) == len(lengths)
+
+
+def test_one_failure_after_an_ejection_ejects_again():
+    book = make_book()
+    fail(book, 0.0, "s0")
+    assert book.is_ejected(0.1, "s0")
+    assert not book.is_ejected(5.0, "s0")
+    fail(book, 5.0, "s0", n=1)
+    assert book.is_ejected(5.1, "s0")
+
+
+def test_a_refusal_of_a_full_server_is_no_failure():
+    book = make_book()
+    for index in range(10):
+        send(book, 0.0, "s0", str(index))
+        book.on_ended(0.0, str(index), None)
+    assert not book.is_ejected(0.1, "s0")
+    assert book.hold_s("model") is None
+
+
+def test_a_slow_but_alive_server_stands_out_even_before_it_answers():
+    book = make_book()
+    for index in range(20):
+        server = f"s{index % 4}"
+        waited_s = 2.0 if server == "s0" else 0.2
+        send(book, 0.0, server, str(index))
+        book.on_began(waited_s, str(index), waited_s)
+    book.estimate(2.5, "s0")
+    excess_s = [book.excess_wait_s(2.5, book.server(f"s{i}")) for i in range(4)]
+    assert excess_s[0] > 1.0
+    assert max(excess_s[1:]) < 0.2
+    assert book.excess_wait_s(120.0, book.server("s0")) < 0.1
+    send(book, 3.0, "s1", "hangs")
+    assert book.excess_wait_s(6.0, book.server("s1")) > 2.0
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["report", "send", "begin", "good", "bad", "forget"]),
+        st.integers(0, 12),
+        st.integers(0, 30),
+    ),
+    max_size=120,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+@hypothesis.given(EVENTS)
+def test_any_events_leave_a_bounded_book_and_sound_estimates(steps):
+    book = loads.LoadBook(8, random.Random(1))
+    for number, (what, server, n) in enumerate(steps):
+        now_s = number * 0.1
+        name = f"s{server}"
+        if what == "report":
+            book.on_report(now_s, name, n, n // 2, age_s=n / 5)
+        elif what == "send":
+            send(book, now_s, name, f"r{n}", n)
+        elif what == "begin":
+            book.on_began(now_s, f"r{n}", 0.1)
+        elif what == "forget":
+            book.forget(name)
+        else:
+            book.on_ended(now_s, f"r{n}", what == "good")
+        assert len(book) <= 8
+        estimate = book.estimate(now_s, name)
+        assert 0.0 <= estimate.n_busy < math.inf
+        assert 0.0 <= estimate.n_waiting < math.inf
+        state = book.server(name)
+        assert state.n_open >= 0
+        assert state.n_pending_tokens == sum(
+            item.n_tokens for item in state.pending.values()
+        )
