--- a/packages/platform/bilberryridge/platform/tests/fakes.py
+++ b/packages/platform/bilberryridge/platform/tests/fakes.py
@@ -70,6 +70,7 @@
         self.is_watch_deaf = False
         self.compact_revision = 0
         self.watch_epoch = 0
+        self.n_watches_opened = 0
         self.served_copy = None
         self.is_garbled = False
         self.status = 200
@@ -116,6 +117,7 @@
         start, end = decoded(create["key"]), decoded(create["range_end"])
         next_revision = int(create["start_revision"])
         epoch, sent = self.watch_epoch, 0
+        self.n_watches_opened += 1
         yield {"header": self._header(), "created": True}
         while epoch == self.watch_epoch and not self.is_down:
             with self.changed:
--- a/packages/platform/bilberryridge/platform/tests/test_platform_task.py
+++ b/packages/platform/bilberryridge/platform/tests/test_platform_task.py
@@ -88,6 +88,8 @@
         bench.after_revision = after_revision
         bench.task.put(effects.WatchStore(True, after_revision))
         bench.reads_to({"vm/a": b"1"})
+        # A fault of the watch needs one that is open.
+        fakes.wait_for(lambda: bench.store.n_watches_opened >= 1)
         yield bench
 
 
