--- a/packages/decisions/bilberryridge/decisions/health.py
+++ b/packages/decisions/bilberryridge/decisions/health.py
@@ -21,6 +21,8 @@
 WAIT_WEIGHT = 0.2
 WAIT_HALF_LIFE_S = 10.0
 MIN_WAITS = 3
+SLOW_RATIO = 2.0
+"""Of the usual wait; below it a difference would only starve one of two servers."""
 
 
 @attrs.define
@@ -102,7 +104,7 @@
 
     def excess_wait_s(self, now_s: float, usual_s: float) -> float:
         """How much slower than `usual_s` its first bytes come; fades when unused."""
-        if self.n_waits < MIN_WAITS or self.wait_s <= usual_s:
+        if self.n_waits < MIN_WAITS or self.wait_s <= SLOW_RATIO * usual_s:
             return 0.0
         fading = 0.5 ** ((now_s - self.waited_at_s) / WAIT_HALF_LIFE_S)
         return (self.wait_s - usual_s) * fading
