--- a/packages/decisions/bilberryridge/decisions/costs.py
+++ b/packages/decisions/bilberryridge/decisions/costs.py
@@ -9,12 +9,12 @@
 bilberryridge.decisions.placement : chooses among the candidates.
 """
 
-import zlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-from bilberryridge.core import documents, messages, requests
+from bilberryridge.core import documents, requests
+from bilberryridge.decisions import choices, server_state
 from bilberryridge.decisions import loads as load_books
 
 PREFILL_TOKENS_PER_S = 5000.0
@@ -24,137 +24,48 @@
 QUEUE_SHARE = 0.125
 AFFINITY_BOUND = 1.25
 AWAY_PRICE_S = 1.0
-DEFAULT_DOMAIN_PRICE_S = 0.2
 MAX_SUMMARY_AGE_S = 30.0
 MARGIN_SHARE = 0.05
 MARGIN_SHARE_PER_S = 0.01
 
 
-@attrs.frozen
-class Candidate:
-    """A backend server that may take the request.
+Known = tuple[choices.Candidate, server_state.Server]
 
-    Parameters
-    ----------
-    vm : documents.Vm
-    is_local : bool
-        Whether it is in this daemon's failure domain.
-    domain, region : str
-    one_way_s : float
-        Delay of the link to it.
-    seed : int
-        Of its name, for rendezvous hashing.
-    """
-
-    vm: documents.Vm
-    is_local: bool
-    domain: str
-    region: str
-    one_way_s: float = 0.0
-    seed: int = attrs.field(init=False, repr=False, eq=False)
-
-    @seed.default
-    def _seed(self) -> int:
-        return zlib.crc32(self.vm.name.encode()) << 16
-
-
-@attrs.frozen
-class RemoteDomain:
-    """Another failure domain with live daemons that may serve the request.
 
-    Parameters
-    ----------
-    domain, region : str
-    one_way_s : float
-    summary : messages.ServiceSummary
-        Its room for the request's service.
-    price_s : float
-        Price of the traffic to it, in seconds of server time for a request.
-    read_s : float or None
-        When the summary came in; None where its age already counts until now.
-    """
-
-    domain: str
-    region: str
-    one_way_s: float
-    summary: messages.ServiceSummary
-    price_s: float = DEFAULT_DOMAIN_PRICE_S
-    read_s: float | None = None
-
-
-@attrs.frozen
-class Local:
-    """Send the request to a backend server.
+@attrs.define
+class Scored:
+    """A candidate with room.
 
     Parameters
     ----------
-    server : str
     cost : float
         Weighed, in seconds.
-    why : str
-        One line for operators.
-    n_prefill_tokens : int
-        Prompt tokens that the server has to compute, for `loads.LoadBook.on_sent`.
+    room : float
+        Slots that are expected to be free for the request.
+    n_open : float
+        Requests expected there.
+    wait_s, prefill_s : float
+    item : choices.Candidate or choices.RemoteDomain
     """
 
-    server: str
     cost: float
-    why: str
-    n_prefill_tokens: int = 0
-
-    @property
-    def load_key(self) -> str:
-        """The name under which the load book counts the request."""
-        return self.server
+    room: float
+    n_open: float
+    wait_s: float
+    prefill_s: float
+    item: choices.Candidate | choices.RemoteDomain
 
 
-@attrs.frozen
-class Remote:
-    """Send the request on to another failure domain.
+class Scorer:
+    """Costs of the candidates of one request.
 
     Parameters
     ----------
-    domain, service : str
-    cost : float
-    why : str
-    """
-
-    domain: str
-    service: str
-    cost: float
-    why: str
-
-    @property
-    def load_key(self) -> str:
-        """The name under which the load book counts the request."""
-        return remote_key(self.domain, self.service)
-
-
-Choice = Local | Remote
-
-
-@attrs.frozen
-class Scored:
-    """A choice with its cost and the slots that are expected to be free there."""
-
-    cost: float
-    room: float
-    choice: Choice
-
-
-def remote_key(domain: str, service: str) -> str:
-    """The load book's name for a service of another failure domain.
-
-    Examples
-    --------
-    >>> remote_key("palermo-a", "banco-modello")
-    'palermo-a/banco-modello'
+    cached : mapping of str to float
+        Leading blocks of the prompt that each server is taken to hold.
+    reserved_share : float
+        Share of each server's slots that is kept free from the request.
     """
-    return f"{domain}/{service}"
-
-
-class Scorer:
-    """Costs of the candidates of one request."""
 
     def __init__(
         self,
@@ -173,85 +84,114 @@
         self._weights = weights
         self._home_region = home_region
         self._cached = cached
-        self._reserved_share = reserved_share
-        self._is_quick = req.priority is requests.Priority.QUICK
+        self._slots_share = 1.0 - reserved_share
+        if req.priority is requests.Priority.QUICK and not reserved_share:
+            self._slots_share += QUEUE_SHARE
         self._n_output_tokens = req.n_output_tokens
         self._prefill_s = req.n_prompt_tokens / PREFILL_TOKENS_PER_S
         n_blocks = max(len(req.prefix_digests), 1)
         n_block_tokens = min(req.n_prompt_tokens / n_blocks, MOST_BLOCK_TOKENS)
         self._block_s = n_block_tokens / PREFILL_TOKENS_PER_S
-        self._hold_s = loads.hold_s(service)
 
-    def is_healthy(self, item: Candidate) -> bool:
-        """Whether the server is not left out for its failures."""
-        vm = item.vm
-        state = self._loads.server(vm.name, self._service, vm.n_slots)
-        return not state.health.is_ejected(self._now_s)
+    @property
+    def least_away(self) -> float:
+        """What any other domain costs at least."""
+        return (self._weights.tail_latency + self._weights.cost) * self._prefill_s
+
+    def known(self, items: Iterable[choices.Candidate]) -> list[Known]:
+        """The servers with what is known of them."""
+        server, service = self._loads.server, self._service
+        return [
+            (item, server(item.vm.name, service, item.vm.n_slots)) for item in items
+        ]
 
-    def score_servers(self, items: Sequence[Candidate]) -> list[Scored]:
-        """Score the servers that are expected to have room."""
-        opens = [
-            self._loads.expected_open(self._now_s, self._loads.server(item.vm.name))
-            for item in items
+    def healthy(self, items: Iterable[choices.Candidate]) -> list[Known]:
+        """Those that are not left out for their failures."""
+        now_s = self._now_s
+        return [
+            pair
+            for pair in self.known(items)
+            if now_s >= pair[1].health.ejected_until_s
         ]
-        n_usual = sum(opens) / max(len(opens), 1)
+
+    def score_servers(self, servers: Iterable[Known]) -> list[Scored]:
+        """Score the servers that are expected to have room."""
+        expected_open, now_s = self._loads.expected_open, self._now_s
+        known = [(item, state, expected_open(now_s, state)) for item, state in servers]
+        n_all = sum(n_open for _, _, n_open in known)
+        most_affine = AFFINITY_BOUND * n_all / max(len(known), 1) + 1.0
         scored = []
-        for item, n_open in zip(items, opens, strict=True):
-            one = self._score_server(item, n_open, n_usual)
-            if one is not None:
-                scored.append(one)
+        for item, state, n_open in known:
+            room = item.vm.n_slots * self._slots_share - n_open
+            if state.health.ramp_from_s is not None:
+                share = state.health.ramp_share(self._now_s)
+                room -= item.vm.n_slots * self._slots_share * (1.0 - share)
+            if room > 0.0:
+                is_affine = n_open <= most_affine
+                scored.append(self._score_server(item, state, n_open, room, is_affine))
         return scored
 
-    def score_remotes(self, items: Sequence[RemoteDomain]) -> list[Scored]:
+    def score_remotes(self, items: Iterable[choices.RemoteDomain]) -> list[Scored]:
         """Score the domains that are expected to have room."""
-        scored = [self._score_remote(item) for item in items]
+        scored = (self._score_remote(item) for item in items)
         return [item for item in scored if item is not None]
 
+    def choice_of(self, scored: Scored) -> choices.Choice:
+        """The choice of a candidate, with one line on why."""
+        item = scored.item
+        if isinstance(item, choices.RemoteDomain):
+            why = (
+                f"{item.domain}: {scored.n_open:.0f} of {item.summary.n_slots} "
+                f"expected, round trip {2.0 * item.one_way_s:.3f} s"
+            )
+            return choices.Remote(item.domain, self._service, scored.cost, why)
+        name = item.vm.name
+        why = (
+            f"{name}: {scored.n_open:.1f} of {item.vm.n_slots} expected, "
+            f"wait {scored.wait_s:.3f} s, prefill {scored.prefill_s:.3f} s, "
+            f"{self._cached.get(name, 0):.0f} blocks cached"
+        )
+        n_prefill = round(scored.prefill_s * PREFILL_TOKENS_PER_S)
+        return choices.Local(name, scored.cost, why, n_prefill)
+
     def _score_server(
-        self, item: Candidate, n_open: float, n_usual: float
-    ) -> Scored | None:
-        vm = item.vm
-        state = self._loads.server(vm.name)
-        n_slots = vm.n_slots * state.health.ramp_share(self._now_s)
-        n_slots *= 1.0 - self._reserved_share
-        room = n_slots - n_open
-        if self._is_quick and not self._reserved_share:
-            room += vm.n_slots * QUEUE_SHARE
-        if room <= 0.0:
-            return None
-        wait_s = BUSY_PRICE_S * n_open / vm.n_slots
-        if n_open >= vm.n_slots:
-            n_before = n_open - vm.n_slots + 1.0
-            wait_s += n_before * self._expected_hold_s(vm) / vm.n_slots
+        self,
+        item: choices.Candidate,
+        state: server_state.Server,
+        n_open: float,
+        room: float,
+        is_affine: bool,
+    ) -> Scored:
+        n_slots = item.vm.n_slots
+        wait_s = BUSY_PRICE_S * n_open / n_slots
         wait_s += self._loads.excess_wait_s(self._now_s, state)
         wait_s += state.n_pending_tokens / PREFILL_TOKENS_PER_S
+        if n_open >= n_slots:
+            n_before = n_open - n_slots + 1.0
+            wait_s += n_before * self._expected_hold_s(item.vm) / n_slots
         prefill_s = self._prefill_s
-        n_cached = self._cached.get(vm.name, 0)
-        if n_cached and n_open <= AFFINITY_BOUND * n_usual + 1.0:
-            prefill_s -= n_cached * self._block_s
+        if is_affine:
+            prefill_s -= self._cached.get(item.vm.name, 0) * self._block_s
         weights = self._weights
         cost = weights.tail_latency * (wait_s + prefill_s + 2.0 * item.one_way_s)
         cost += weights.cost * prefill_s
         if item.region != self._home_region:
             cost += weights.sent_away * AWAY_PRICE_S
-        why = (
-            f"{vm.name}: {n_open:.1f} of {vm.n_slots} expected, wait {wait_s:.3f} s, "
-            f"prefill {prefill_s:.3f} s, {n_cached} blocks cached"
-        )
-        n_prefill = round(prefill_s * PREFILL_TOKENS_PER_S)
-        return Scored(cost, room, Local(vm.name, cost, why, n_prefill))
+        return Scored(cost, room, n_open, wait_s, prefill_s, item)
 
-    def _score_remote(self, item: RemoteDomain) -> Scored | None:
+    def _score_remote(self, item: choices.RemoteDomain) -> Scored | None:
         summary = item.summary
-        key = remote_key(item.domain, self._service)
-        state = self._loads.server(key, f"/{self._service}", max(summary.n_slots, 1))
-        if state.health.is_ejected(self._now_s):
+        if not summary.n_slots:
             return None
         age_s = summary.age_s
         if item.read_s is not None:
             age_s += self._now_s - item.read_s
         if age_s > MAX_SUMMARY_AGE_S:
             return None
+        key = choices.remote_key(item.domain, self._service)
+        state = self._loads.server(key, f"/{self._service}", summary.n_slots)
+        if state.health.is_ejected(self._now_s):
+            return None
         n_net = self._loads.n_net_since(key, self._now_s - age_s)
         n_open = max(summary.n_busy + summary.n_waiting + n_net, state.n_open)
         margin = summary.n_slots * (MARGIN_SHARE + MARGIN_SHARE_PER_S * age_s)
@@ -266,18 +206,15 @@
         cost += weights.cost * (self._prefill_s + item.price_s)
         if item.region != self._home_region:
             cost += weights.sent_away * AWAY_PRICE_S
-        why = (
-            f"{item.domain}: {n_open:.0f} of {summary.n_slots} expected, "
-            f"{age_s:.1f} s old, round trip {2.0 * item.one_way_s:.3f} s"
-        )
-        return Scored(cost, room, Remote(item.domain, self._service, cost, why))
+        return Scored(cost, room, n_open, wait_s, self._prefill_s, item)
 
     def _expected_hold_s(self, vm: documents.Vm) -> float:
+        hold_s = self._loads.hold_s(self._service)
         s_per_token = vm.n_slots / vm.tokens_per_s if vm.tokens_per_s else 0.0
         open_s = self._loads.open_hold_s(vm.name, s_per_token)
-        if open_s is not None and self._hold_s is not None:
-            return max(open_s, self._hold_s)
-        for known_s in (open_s, self._hold_s):
+        if open_s is not None and hold_s is not None:
+            return max(open_s, hold_s)
+        for known_s in (open_s, hold_s):
             if known_s is not None:
                 return known_s
         if vm.tokens_per_s:
--- a/packages/decisions/bilberryridge/decisions/entry_ranking.py
+++ b/packages/decisions/bilberryridge/decisions/entry_ranking.py
@@ -10,7 +10,6 @@
 IEEE/ACM Transactions on Networking 6 (1), 1998.
 """
 
-import hashlib
 import math
 import random
 from collections.abc import Collection, Sequence
@@ -18,6 +17,7 @@
 import attrs
 
 from bilberryridge.core import documents
+from bilberryridge.decisions import rendezvous
 
 N_HOME = 2
 LIFETIME_S = 20.0
@@ -77,16 +77,19 @@
         for item in entry_vms
         if item.is_live and (not allowed_regions or item.region in allowed_regions)
     ]
+    key = rendezvous.score(organisation, "")
     home_domain = home_domain or _home_domain(organisation, usable, home_region)
     mean_open = sum(item.n_open for item in usable) / max(len(usable), 1)
     by_score = sorted(
-        usable, key=lambda item: _score(organisation, item, mean_open), reverse=True
+        usable, key=lambda item: _score(key, item, mean_open), reverse=True
     )
-    home = [item for item in by_score if item.domain == home_domain][:N_HOME]
-    random_state.shuffle(home)
-    rest = [item for item in by_score if item not in home]
-    rest.sort(key=lambda item: _tier(item, home_domain, home_region))
-    return tuple((home + _spread(rest))[:n])
+    home = [item for item in by_score if item.domain == home_domain]
+    others = [item for item in by_score if item.domain != home_domain]
+    # Sorting is stable: those of the home region by score, then all others by score.
+    others.sort(key=lambda item: item.region != home_region)
+    first = home[:N_HOME]
+    random_state.shuffle(first)
+    return tuple((first + _spread(others + home[N_HOME:], {home_domain}))[:n])
 
 
 def lifetime_s(random_state: random.Random) -> float:
@@ -94,21 +97,15 @@
     return LIFETIME_S * random_state.uniform(1 - LIFETIME_JITTER, 1 + LIFETIME_JITTER)
 
 
-def uniform_hash(*parts: str) -> float:
-    """A number in (0, 1) that depends on the parts alone."""
-    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=7).digest()
-    return (int.from_bytes(digest, "big") + 0.5) / 2.0**56
-
-
 def _home_domain(organisation: str, usable: list[RankedVm], home_region: str) -> str:
     domains = {item.domain for item in usable if item.region == home_region}
-    return max(domains, key=lambda name: uniform_hash(organisation, name), default="")
+    ranked = rendezvous.ranked(organisation, domains)
+    return ranked[0] if ranked else ""
 
 
-def _score(organisation: str, item: RankedVm, mean_open: float) -> float:
-    return -_weight(item, mean_open) / math.log(
-        uniform_hash(organisation, item.vm.name)
-    )
+def _score(key: int, item: RankedVm, mean_open: float) -> float:
+    uniform = (rendezvous.mixed(key, rendezvous.seed(item.vm.name)) + 0.5) / 2.0**64
+    return -_weight(item, mean_open) / math.log(uniform)
 
 
 def _weight(item: RankedVm, mean_open: float) -> float:
@@ -122,16 +119,11 @@
     return 1.0
 
 
-def _tier(item: RankedVm, home_domain: str, home_region: str) -> int:
-    if item.domain == home_domain:
-        return 0
-    return 1 if item.region == home_region else 2
-
-
-def _spread(items: list[RankedVm]) -> list[RankedVm]:
-    # One VM of each domain first: a lost domain takes one alternative, not all.
-    first: dict[str, RankedVm] = {}
+def _spread(items: list[RankedVm], domains: set[str]) -> list[RankedVm]:
+    # One VM of each other domain first: a lost domain takes one alternative, not all.
+    heads: list[RankedVm] = []
+    rest: list[RankedVm] = []
     for item in items:
-        first.setdefault(item.domain, item)
-    heads = list(first.values())
-    return heads + [item for item in items if item not in heads]
+        (rest if item.domain in domains else heads).append(item)
+        domains.add(item.domain)
+    return heads + rest
--- a/packages/decisions/bilberryridge/decisions/loads.py
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -82,18 +82,23 @@
         self, name: str, pool: str = "", n_slots: int = 0
     ) -> server_state.Server:
         """The state of a server, made when new; a pool given here is remembered."""
+        state = self._servers.get(name)
+        if state is None or (pool and pool != state.pool):
+            state = self._place(name, pool)
+        if n_slots:
+            state.n_slots = n_slots
+        return state
+
+    def _place(self, name: str, pool: str) -> server_state.Server:
         state = self._servers.get(name)
         if state is None:
             if len(self._servers) >= self._n_servers_bound:
                 self._forget_oldest()
             state = self._servers[name] = server_state.Server()
-            self._pool(state.pool).servers[name] = state
-        if pool and pool != state.pool:
+        else:
             self._leave_pool(name, state)
-            state.pool = pool
-            self._pool(pool).servers[name] = state
-        if n_slots:
-            state.n_slots = n_slots
+        state.pool = pool
+        self._pool(pool).servers[name] = state
         return state
 
     def on_report(
@@ -180,19 +185,18 @@
     def expected_open(self, now_s: float, state: server_state.Server) -> float:
         """Requests in work or waiting at a server, as expected now."""
         pool = self._pools[state.pool]
-        pool.refresh(now_s, self.n_daemons)
-        n_usual = (pool.utilisation - pool.n_own_a_slot) * state.n_slots
-        n_unknown = n_usual + state.n_open
-        if state.reported_s is None:
-            return max(n_unknown, state.n_open)
-        trust = math.exp((state.reported_s - now_s) / REPORT_TRUST_S)
-        n_net = state.n_net
-        if n_net > 0:
+        if now_s - pool.refreshed_s > server_state.POOL_REFRESH_S:
+            pool.refresh(now_s, self.n_daemons)
+        n_own = state.n_open
+        n_unknown = (pool.utilisation - pool.n_own_a_slot) * state.n_slots + n_own
+        n_expected = n_unknown
+        if state.reported_s is not None:
+            n_reported = state.n_running + state.n_waiting
             # The other daemons had the same report and sent there just as much.
-            n_net *= self.n_daemons
-        n_reported = state.n_running + state.n_waiting + n_net
-        n_expected = trust * n_reported + (1.0 - trust) * n_unknown
-        return max(n_expected, state.n_open)
+            n_reported += state.n_net * (self.n_daemons if state.n_net > 0 else 1)
+            trust = math.exp((state.reported_s - now_s) / REPORT_TRUST_S)
+            n_expected += trust * (n_reported - n_unknown)
+        return n_expected if n_expected > n_own else float(n_own)
 
     def is_ejected(self, now_s: float, server: str) -> bool:
         """Whether the server is left out because it failed."""
--- a/packages/decisions/bilberryridge/decisions/placement.py
+++ b/packages/decisions/bilberryridge/decisions/placement.py
@@ -15,29 +15,30 @@
 SODA 2018.
 """
 
+import itertools
+import math
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 from bilberryridge.core import documents, requests
-from bilberryridge.decisions import costs
+from bilberryridge.decisions import choices, costs, rendezvous
 from bilberryridge.decisions import loads as load_books
 from bilberryridge.decisions import prefixes as prefix_books
 
-MAX_LOOKED_AT = 24
+MAX_LOOKED_AT = 8
+MAX_LOOKED_AT_WITHOUT_ROOM = 24
+MAX_REMOTES = 12
 FAVOURED_SHARE = 0.8
-MIX_A = 0x9E3779B97F4A7C15
-MIX_B = 0xBF58476D1CE4E5B9
-MIX_MASK = 0xFFFFFFFFFFFFFFFF
 NEAR_EQUAL_S = 0.01
 NEAR_EQUAL_SHARE = 0.05
 DEFAULT_QUEUE_WAIT_S = 1.0
 
-Candidate = costs.Candidate
-RemoteDomain = costs.RemoteDomain
-Local = costs.Local
-Remote = costs.Remote
-Choice = costs.Choice
-remote_key = costs.remote_key
+Candidate = choices.Candidate
+RemoteDomain = choices.RemoteDomain
+Local = choices.Local
+Remote = choices.Remote
+Choice = choices.Choice
+remote_key = choices.remote_key
 
 
 def choose(
@@ -85,47 +86,51 @@
     regions = frozenset(service.regions)
     if allowed_regions:
         regions = regions.intersection(allowed_regions)
-    usable = [
-        item
-        for item in servers
-        if item.region in regions
-        and item.vm.name not in exclude
-        and not item.vm.is_draining
-    ]
     digests = req.prefix_digests
-    looked_at = _look_at(usable, digests, random_state)
+    usable = _usable(servers, regions, exclude, digests, random_state)
+    looked_at = list(itertools.islice(usable, MAX_LOOKED_AT))
     cached = _cached(looked_at, digests, prefixes, loads.n_daemons)
     scorer = costs.Scorer(
         now_s, req, service.name, loads, weights, home_region, cached, reserved_share
     )
-    healthy = [item for item in looked_at if scorer.is_healthy(item)]
+    healthy = scorer.healthy(looked_at)
     scored = scorer.score_servers(healthy)
-    here_s = min((item.cost for item in scored), default=None)
-    if here_s is None:
-        here_s = weights.tail_latency * queue_wait_s if healthy else float("inf")
-    away = [
-        item
-        for item in remotes
-        if item.region in regions and item.domain not in exclude
-    ]
-    if away:
-        away_scored = scorer.score_remotes(_some_remotes(away, random_state))
-        scored += [item for item in away_scored if item.cost < here_s]
+    if not scored:
+        n_more = MAX_LOOKED_AT_WITHOUT_ROOM - MAX_LOOKED_AT
+        more = list(itertools.islice(usable, n_more))
+        looked_at += more
+        healthy += scorer.healthy(more)
+        scored = scorer.score_servers(healthy)
+    here = min((item.cost for item in scored), default=None)
+    if here is None:
+        here = weights.tail_latency * queue_wait_s if healthy else math.inf
+    if remotes and here > scorer.least_away:
+        away = _allowed(remotes, regions, exclude, home_region, random_state)
+        scored += [item for item in scorer.score_remotes(away) if item.cost < here]
     if not scored and not healthy:
         # Every server here is ejected: a wrong detector must not empty the pool.
-        scored = scorer.score_servers(looked_at)
-    return _pick(scored, random_state)
+        scored = scorer.score_servers(scorer.known(looked_at))
+    return scorer.choice_of(_pick(scored, random_state)) if scored else None
 
 
-def _look_at(
-    items: list[Candidate], digests: Sequence[int], random_state: random.Random
-) -> list[Candidate]:
-    if len(items) <= MAX_LOOKED_AT:
-        return items
-    # The same window for the same prefix, at every daemon that lists them in one order.
-    start = digests[0] if digests else random_state.randrange(len(items))
-    start %= len(items)
-    return (items + items)[start : start + MAX_LOOKED_AT]
+def _usable(
+    servers: Sequence[Candidate],
+    regions: Collection[str],
+    exclude: Collection[str],
+    digests: Sequence[int],
+    random_state: random.Random,
+) -> Iterator[Candidate]:
+    """The servers that may take the request; few of many are looked at."""
+    n_servers = len(servers)
+    start = 0
+    if n_servers > MAX_LOOKED_AT:
+        # The same ones for the same prefix, at every daemon that lists them alike.
+        start = digests[0] if digests else random_state.randrange(n_servers)
+    for index in range(n_servers):
+        item = servers[(start + index) % n_servers]
+        vm = item.vm
+        if item.region in regions and not vm.is_draining and vm.name not in exclude:
+            yield item
 
 
 def _cached(
@@ -142,32 +147,36 @@
     if not digests or not items:
         return {}
     cached: dict[str, float] = dict(prefixes.best(digests, n_daemons))
-    favoured = max(items, key=lambda item: _mixed(digests[0] ^ item.seed))
+    first = digests[0]
+    favoured = max(items, key=lambda item: rendezvous.mixed(first, item.seed))
     cached.setdefault(favoured.vm.name, FAVOURED_SHARE * len(digests))
     return cached
 
 
-def _mixed(number: int) -> int:
-    spread = number * MIX_A & MIX_MASK
-    return (spread ^ (spread >> 29)) * MIX_B & MIX_MASK
-
-
-def _some_remotes(
-    items: list[RemoteDomain], random_state: random.Random
+def _allowed(
+    remotes: Sequence[RemoteDomain],
+    regions: Collection[str],
+    exclude: Collection[str],
+    home_region: str,
+    random_state: random.Random,
 ) -> list[RemoteDomain]:
-    if len(items) <= MAX_LOOKED_AT:
-        return items
-    start = random_state.randrange(len(items))
-    return (items + items)[start : start + MAX_LOOKED_AT]
+    """Up to `MAX_REMOTES` domains that may take the request, the home's first."""
+    allowed = [
+        item
+        for item in remotes
+        if item.region in regions and item.domain not in exclude
+    ]
+    if len(allowed) <= MAX_REMOTES:
+        return allowed
+    home = [item for item in allowed if item.region == home_region]
+    others = [item for item in allowed if item.region != home_region]
+    return (home + random_state.sample(others, len(others)))[:MAX_REMOTES]
 
 
-def _pick(scored: list[costs.Scored], random_state: random.Random) -> Choice | None:
-    if not scored:
-        return None
+def _pick(scored: list[costs.Scored], random_state: random.Random) -> costs.Scored:
     least = min(item.cost for item in scored)
     bound = least + NEAR_EQUAL_S + NEAR_EQUAL_SHARE * least
     near = [item for item in scored if item.cost <= bound]
     if len(near) == 1:
-        return near[0].choice
-    rooms = [item.room for item in near]
-    return random_state.choices(near, rooms)[0].choice
+        return near[0]
+    return random_state.choices(near, [item.room for item in near])[0]
--- a/packages/decisions/bilberryridge/decisions/rendezvous.py
+++ b/packages/decisions/bilberryridge/decisions/rendezvous.py
@@ -7,8 +7,13 @@
 """
 
 import hashlib
+import zlib
 from collections.abc import Iterable
 
+MASK = 0xFFFFFFFFFFFFFFFF
+MULTIPLIER_A = 0x9E3779B97F4A7C15
+MULTIPLIER_B = 0xBF58476D1CE4E5B9
+
 
 def score(key: str, name: str) -> int:
     """Return the weight of a name for a key; the same in every process."""
@@ -25,3 +30,14 @@
     True
     """
     return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
+
+
+def seed(name: str) -> int:
+    """Return a number for a name, for `mixed`; the same in every process."""
+    return zlib.crc32(name.encode()) << 16
+
+
+def mixed(key: int, name_seed: int) -> int:
+    """Return the weight of a name for a key, both as numbers: fast, 64 bits."""
+    spread = (key ^ name_seed) * MULTIPLIER_A & MASK
+    return (spread ^ (spread >> 29)) * MULTIPLIER_B & MASK
--- a/packages/decisions/bilberryridge/decisions/server_state.py
+++ b/packages/decisions/bilberryridge/decisions/server_state.py
@@ -94,9 +94,7 @@
     hold_s_per_token: float | None = None
 
     def refresh(self, now_s: float, n_daemons: int) -> None:
-        """Look at all servers again, unless that was done just now."""
-        if now_s - self.refreshed_s <= POOL_REFRESH_S:
-            return
+        """Look at all servers again; wanted every `POOL_REFRESH_S`."""
         self.refreshed_s = now_s
         servers = list(self.servers.values())
         n_slots = sum(state.n_slots for state in servers)
