--- a/packages/transport/bilberryridge/transport/edge.py
+++ b/packages/transport/bilberryridge/transport/edge.py
@@ -25,13 +25,12 @@
     exchanges,
     limits,
     listener,
-    metrics,
     request_reader,
     routes,
     settings,
     timers,
 )
-from bilberryridge.utilities import mailbox, transfers
+from bilberryridge.utilities import mailbox, metrics, transfers
 
 EdgeSettings = settings.EdgeSettings
 
--- a/packages/transport/bilberryridge/transport/exchanges.py
+++ b/packages/transport/bilberryridge/transport/exchanges.py
@@ -11,7 +11,6 @@
     errors,
     exchange,
     headers,
-    metrics,
     orders,
     relay_proof,
     request_reader,
@@ -19,7 +18,7 @@
     settings,
     timers,
 )
-from bilberryridge.utilities import transfers
+from bilberryridge.utilities import metrics, transfers
 
 REQUEST_ID_BYTES = 16
 BUSY_RETRY_S = 1.0
