--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -11,22 +11,20 @@
 import random
 import signal
 from collections.abc import Callable, Iterator, Mapping
-from typing import Protocol
 
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.daemon import line_log, metrics
-from bilberryridge.decisions.ingress import events, node, shared, state
+from bilberryridge.daemon import ingress_platform, line_log, metrics
+from bilberryridge.decisions.ingress import events, node, shared
 from bilberryridge.peers import links, load_codec
 from bilberryridge.store import follower, mirror, registration
 from bilberryridge.transport import settings
 from bilberryridge.transport.ingress import (
-    dialect,
+    connection_pool,
     gateway,
     port,
     responder,
-    upstream,
 )
 from bilberryridge.transport.ingress import loop as loops
 from bilberryridge.utilities import addresses
@@ -54,88 +52,6 @@
 MAX_RELAY_CONNECTIONS = 500
 
 
-@attrs.frozen
-class DaemonSettings:
-    """Addresses and bounds of the daemon.
-
-    Parameters
-    ----------
-    node : state.NodeSettings
-    ready_address, directory_address : str
-        ``host:port``; may be the same.
-    metrics_address : str
-        Empty for none.
-    seeds : tuple of str
-        Peer addresses to try while no other daemon is known.
-    grace_s : float
-        Time from SIGTERM until the process is killed.
-    """
-
-    node: state.NodeSettings
-    ready_address: str
-    directory_address: str
-    metrics_address: str
-    seeds: tuple[str, ...]
-    grace_s: float
-
-
-class Decoder(Protocol):
-    """Reads what a platform's store holds into the product's types."""
-
-    @property
-    def entry_prefix(self) -> str:
-        """Of the keys under which daemons register."""
-
-    def table(self, copy: mirror.Mirror) -> ingress.RoutingTable | None:
-        """Return the routing table; None while there is none that can be read."""
-
-    def servers(self, copy: mirror.Mirror) -> tuple[ingress.BackendServer, ...]:
-        """Return the registered backend servers that can be read."""
-
-    def entries(self, copy: mirror.Mirror) -> tuple[ingress.EntryVm, ...]:
-        """Return the registered daemons."""
-
-    def evacuated(self, copy: mirror.Mirror) -> frozenset[str]:
-        """Return the failure domains to which nothing is sent."""
-
-    def encode_entry(self, entry: ingress.EntryVm) -> bytes:
-        """Write this daemon's registration."""
-
-
-class Platform(Protocol):
-    """What a prepared platform brings: its wire, its store, its questions."""
-
-    @property
-    def wire(self) -> dialect.Dialect:
-        """How callers and backend servers speak."""
-
-    @property
-    def decoder(self) -> Decoder:
-        """Reads the store's items."""
-
-    def reader(self, loop: loops.Loop, pool: upstream.Pool) -> follower.Reader:
-        """Make the store's reading calls."""
-
-    def writer(self, loop: loops.Loop, pool: upstream.Pool) -> registration.Writer:
-        """Make the store's calls on leases."""
-
-    def respond_ready(self, is_ready: bool) -> responder.Answer:
-        """Answer the platform's question."""
-
-    def respond_directory(
-        self, target: str, choose: "ChooseEntries", ttl_s: float
-    ) -> responder.Answer:
-        """Answer a caller that asks which entry VMs to use."""
-
-    def is_ready_target(self, target: str) -> bool:
-        """Return whether a target asks for readiness."""
-
-
-Reread = Callable[[], DaemonSettings | None]
-ChooseEntries = Callable[[str, str, str], list[ingress.EntryVm]]
-"""Takes host, region and failure domain of a caller."""
-
-
 class Daemon:
     """One daemon of the deployment.
 
@@ -153,13 +69,13 @@
 
     def __init__(
         self,
-        cfg: DaemonSettings,
-        platform: Platform,
+        cfg: ingress_platform.DaemonSettings,
+        platform: ingress_platform.Platform,
         loop: loops.Loop,
         counters: metrics.Metrics,
         log: line_log.LineHandler,
         random_state: random.Random,
-        reread: Reread,
+        reread: ingress_platform.Reread,
     ):
         self._cfg = cfg
         self._reread = reread
@@ -167,7 +83,7 @@
         self._loop = loop
         self._counters = counters
         own = cfg.node.own
-        self._pool = upstream.Pool(loop)
+        self._pool = connection_pool.Pool(loop)
         self._node = node.Node(cfg.node, random_state)
         self._gateway = gateway.Gateway(
             loop, self._pool, platform.wire, self._node, self._tell_peer, counters
@@ -379,11 +295,11 @@
 
 @contextlib.contextmanager
 def open_daemon(
-    cfg: DaemonSettings,
-    prepare: Callable[[metrics.Metrics], Platform],
+    cfg: ingress_platform.DaemonSettings,
+    prepare: Callable[[metrics.Metrics], ingress_platform.Platform],
     fd: int,
     random_state: random.Random,
-    reread: Reread,
+    reread: ingress_platform.Reread,
 ) -> Iterator[Daemon]:
     """Make the daemon; it listens from here on, and signals reach it.
 
--- a/packages/decisions/bilberryridge/decisions/ingress/expectations.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/expectations.py
@@ -3,11 +3,8 @@
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions.ingress import server_book, shared
+from bilberryridge.decisions.ingress import read_flow, server_book, shared
 
-TOKENS_PER_S = 50_000.0
-"""Prompt tokens that an engine reads in a second, before anything was measured; the
-reports of today's deployments say 57,000 without decoding beside it."""
 FIRST_TOKEN_S = 0.025
 """Time to the first token of an empty prompt at an idle engine."""
 OTHERS_PART = 0.25
@@ -84,7 +81,7 @@
     n_unread = max(0, prompt.n_tokens - state.memory.n_held(prompt.parts))
     n_before = n_tokens_ahead(total.n_pending_tokens, total.n_urgent_tokens, is_urgent)
     pace = state.pace(is_urgent)
-    rate = TOKENS_PER_S / pace
+    rate = read_flow.TOKENS_PER_S / pace
     queue_s = _slot_wait_s(total, engine) + _memory_wait_s(total, engine, prompt)
     queue_s += n_before / rate
     read_s = n_unread / rate
--- a/packages/decisions/bilberryridge/decisions/ingress/read_flow.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/read_flow.py
@@ -4,9 +4,9 @@
 
 FLOW_S = 5.0
 """Time over which the flow of prompt tokens is averaged: a few prompts of a daemon."""
-FULL_TOKENS_PER_S = 50_000.0
-"""Prompt tokens that an engine reads in a second while it does nothing else but one
-token of each stream for each chunk, as the reports of today's deployments have it."""
+TOKENS_PER_S = 50_000.0
+"""Prompt tokens that an engine reads in a second with one token of each stream beside
+each chunk; the reports of today's deployments say 57,000 without."""
 STEP_S = 0.008
 """Time between two tokens of a stream at half load where no prompt is read."""
 CHUNK_STEP_S = 0.08
@@ -38,7 +38,7 @@
 
     def part(self, now_s: float) -> float:
         """Return the part of the server's time that reading them takes; may pass 1."""
-        return self._left(now_s) / FLOW_S / FULL_TOKENS_PER_S
+        return self._left(now_s) / FLOW_S / TOKENS_PER_S
 
     def _left(self, now_s: float) -> float:
         return self._n_tokens * math.exp((self._at_s - now_s) / FLOW_S)
--- a/packages/standins/bilberryridge/standins/day_log/causes.py
+++ b/packages/standins/bilberryridge/standins/day_log/causes.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from bilberryridge.decisions.ingress import read_flow
 from bilberryridge.standins.day_log import reading
 
 IN_TIME = "answered in time"
@@ -15,8 +16,6 @@
 LEFT = "caller left while it waited"
 CUT = "stream cut"
 OPEN = "open at the end of the log"
-READ_TOKENS_PER_S = 50_000.0
-"""Prompt tokens that an engine reads in a second, as the daemons expect it."""
 
 
 def cause_of(passage: reading.Passage, goal_s: float | None) -> str:
@@ -56,7 +55,7 @@
     if len(passage.sends) > 1:
         return LATE_TRIED
     unread = passage.sends[-1].get("unread", 0) if passage.sends else 0
-    if unread / READ_TOKENS_PER_S > goal_s:
+    if unread / read_flow.TOKENS_PER_S > goal_s:
         return LATE_READ
     return LATE_BEHIND
 
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -13,6 +13,9 @@
 
 IN_REGION_S = 0.001
 """One way between machines of a region: half of them are in one zone."""
+HOST = "desk.example"
+ENGINE = ingress.Engine(64, 427_000, 8)
+"""Slots, memory and tokens of an event, as the nodes are told."""
 BETWEEN_REGIONS_S = 0.055
 """One way between regions."""
 WINDOW_BYTES, BYTES_PER_TOKEN = 20_000, 1
@@ -259,6 +262,3 @@
 
 
 _NOBODY = _Nobody()
-HOST = "desk.example"
-ENGINE = ingress.Engine(64, 427_000, 8)
-"""Slots, memory and tokens of an event, as the nodes are told."""
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/ingress/connection_pool.py
@@ -0,0 +1,90 @@
+"""Kept connections to the other sides that this daemon asks."""
+
+from bilberryridge.transport import headers
+from bilberryridge.transport.ingress import loop as loops
+from bilberryridge.transport.ingress import upstream
+from bilberryridge.utilities import addresses
+
+FRESH_IDLE_S = 1.0
+"""Longest idle time of a connection for a request that must not be repeated."""
+MAX_IDLE_PER_ADDRESS = 16
+"""A daemon has fewer requests at one server at a time, but for the worst peaks."""
+
+
+class Pool:
+    """Kept connections, by address.
+
+    Parameters
+    ----------
+    loop : Loop
+    """
+
+    def __init__(self, loop: loops.Loop):
+        self._loop = loop
+        self._idle: dict[addresses.Address, list[upstream.Connection]] = {}
+        self._open: set[upstream.Connection] = set()
+        self.n_opened = 0
+
+    def ask(
+        self,
+        address: addresses.Address,
+        method: str,
+        target: str,
+        fields: headers.Fields,
+        body: bytes,
+        sink: upstream.Sink,
+        is_fresh: bool = False,
+    ) -> upstream.Connection:
+        """Send a request on a kept or a new connection."""
+        conn = self._take_idle(address, is_fresh) or self._open_new(address)
+        conn.ask(method, target, fields, body, sink)
+        return conn
+
+    def give_back(self, conn: upstream.Connection) -> None:
+        """Keep a connection for the next request."""
+        rows = self._idle.setdefault(conn.address, [])
+        if len(rows) >= MAX_IDLE_PER_ADDRESS:
+            conn.close()
+            return
+        conn.idle_since_s = self._loop.now_s()
+        rows.append(conn)
+
+    def on_closed(self, conn: upstream.Connection) -> None:
+        """Forget a connection."""
+        self._open.discard(conn)
+        rows = self._idle.get(conn.address)
+        if rows and conn in rows:
+            rows.remove(conn)
+
+    def close_idle(self) -> None:
+        """Close what has been idle for too long."""
+        now_s = self._loop.now_s()
+        for rows in list(self._idle.values()):
+            for conn in list(rows):
+                if now_s - conn.idle_since_s > conn.idle_s:
+                    conn.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for conn in list(self._open):
+            conn.cancel()
+
+    def _take_idle(
+        self, address: addresses.Address, is_fresh: bool
+    ) -> upstream.Connection | None:
+        rows = self._idle.get(address, [])
+        now_s = self._loop.now_s()
+        while rows:
+            conn = rows.pop()
+            idle_s = now_s - conn.idle_since_s
+            longest_s = min(conn.idle_s, FRESH_IDLE_S) if is_fresh else conn.idle_s
+            if idle_s <= longest_s and not conn.is_stale():
+                return conn
+            conn.close()
+        return None
+
+    def _open_new(self, address: addresses.Address) -> upstream.Connection:
+        self.n_opened += 1
+        conn = upstream.Connection(self._loop, address, self)
+        self._open.add(conn)
+        return conn
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -9,9 +9,9 @@
 from bilberryridge.transport import connection, headers, limits, problems
 from bilberryridge.transport.ingress import (
     attempt,
+    connection_pool,
     dialect,
     relay_envelope,
-    upstream,
 )
 from bilberryridge.transport.ingress import loop as loops
 from bilberryridge.utilities import addresses
@@ -42,7 +42,7 @@
     def __init__(
         self,
         loop: loops.Loop,
-        pool: upstream.Pool,
+        pool: connection_pool.Pool,
         wire: dialect.Dialect,
         post: Post,
         conn: connection.Connection,
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -11,11 +11,11 @@
 from bilberryridge.decisions.ingress import effects, events, node, shared
 from bilberryridge.transport import connection, errors, headers, request_reader
 from bilberryridge.transport.ingress import (
+    connection_pool,
     dialect,
     exchange,
     relay_envelope,
     responder,
-    upstream,
 )
 from bilberryridge.transport.ingress import loop as loops
 from bilberryridge.utilities import metrics
@@ -43,7 +43,7 @@
     def __init__(
         self,
         loop: loops.Loop,
-        pool: upstream.Pool,
+        pool: connection_pool.Pool,
         wire: dialect.Dialect,
         deciding: node.Node,
         tell_peer: TellPeer,
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -31,9 +31,6 @@
 """A connection that was idle for longer is closed, unless the server says less."""
 IDLE_MARGIN_S = 1.0
 """Kept back of the idle time that the server names: it counts from its own end."""
-FRESH_IDLE_S = 1.0
-"""Longest idle time of a connection for a request that must not be repeated."""
-MAX_IDLE_PER_ADDRESS = 16
 MAX_SKIPPED_ANSWERS = 3
 """Answers to earlier requests that are read over before the connection is closed."""
 
@@ -65,6 +62,16 @@
         """There will be no whole answer."""
 
 
+class Keeper(Protocol):
+    """Keeps connections between requests."""
+
+    def give_back(self, conn: "Connection") -> None:
+        """Keep a connection for the next request."""
+
+    def on_closed(self, conn: "Connection") -> None:
+        """Forget a connection."""
+
+
 class Connection:
     """One connection; `ask` sends a request when it is idle.
 
@@ -72,17 +79,17 @@
     ----------
     loop : Loop
     address : (str, int)
-    pool : Pool
+    keeper : Keeper
         Takes it back after a whole answer.
     """
 
-    def __init__(self, loop: loops.Loop, address: addresses.Address, pool: "Pool"):
+    def __init__(self, loop: loops.Loop, address: addresses.Address, keeper: Keeper):
         self.address = address
         self.idle_since_s = 0.0
         self.idle_s = IDLE_S
         self.is_closed = False
         self._loop = loop
-        self._pool = pool
+        self._keeper = keeper
         self._http = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._sink: Sink | None = None
@@ -145,7 +152,7 @@
             return
         self.is_closed = True
         self._connect_alarm.cancel()
-        self._pool.on_closed(self)
+        self._keeper.on_closed(self)
         if self._mask:
             self._loop.selector.unregister(self._sock)
         self._sock.close()
@@ -300,7 +307,7 @@
         if is_kept:
             self._http.start_next_cycle()
             self._n_skipped = 0
-            self._pool.give_back(self)
+            self._keeper.give_back(self)
         else:
             self.close()
         sink.on_end()
@@ -330,82 +337,3 @@
         self.close()
         if sink is not None:
             sink.on_failed(failure, detail)
-
-
-class Pool:
-    """Kept connections, by address.
-
-    Parameters
-    ----------
-    loop : Loop
-    """
-
-    def __init__(self, loop: loops.Loop):
-        self._loop = loop
-        self._idle: dict[addresses.Address, list[Connection]] = {}
-        self._open: set[Connection] = set()
-        self.n_opened = 0
-
-    def ask(
-        self,
-        address: addresses.Address,
-        method: str,
-        target: str,
-        fields: headers.Fields,
-        body: bytes,
-        sink: Sink,
-        is_fresh: bool = False,
-    ) -> Connection:
-        """Send a request on a kept or a new connection."""
-        conn = self._take_idle(address, is_fresh) or self._open_new(address)
-        conn.ask(method, target, fields, body, sink)
-        return conn
-
-    def give_back(self, conn: Connection) -> None:
-        """Keep a connection for the next request."""
-        rows = self._idle.setdefault(conn.address, [])
-        if len(rows) >= MAX_IDLE_PER_ADDRESS:
-            conn.close()
-            return
-        conn.idle_since_s = self._loop.now_s()
-        rows.append(conn)
-
-    def on_closed(self, conn: Connection) -> None:
-        """Forget a connection."""
-        self._open.discard(conn)
-        rows = self._idle.get(conn.address)
-        if rows and conn in rows:
-            rows.remove(conn)
-
-    def close_idle(self) -> None:
-        """Close what has been idle for too long."""
-        now_s = self._loop.now_s()
-        for rows in list(self._idle.values()):
-            for conn in list(rows):
-                if now_s - conn.idle_since_s > conn.idle_s:
-                    conn.close()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for conn in list(self._open):
-            conn.cancel()
-
-    def _take_idle(
-        self, address: addresses.Address, is_fresh: bool
-    ) -> Connection | None:
-        rows = self._idle.get(address, [])
-        now_s = self._loop.now_s()
-        while rows:
-            conn = rows.pop()
-            idle_s = now_s - conn.idle_since_s
-            longest_s = min(conn.idle_s, FRESH_IDLE_S) if is_fresh else conn.idle_s
-            if idle_s <= longest_s and not conn.is_stale():
-                return conn
-            conn.close()
-        return None
-
-    def _open_new(self, address: addresses.Address) -> Connection:
-        self.n_opened += 1
-        conn = Connection(self._loop, address, self)
-        self._open.add(conn)
-        return conn
