Open work at a server kept as sums; homes tried in order; a bounded comparison

Cause: placement added up each daemon's share of each server for each request, so that a decision grew with servers times daemons.

Sums are kept as shares come and go; a ranking of servers for a shared part is kept until servers change; homes are tried in order until one is soon enough; at most 48 servers are compared. Whether a home is sound is now told against the least fault rate, not the cheapest server's.

--- a/packages/decisions/bilberryridge/decisions/ingress/expectations.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/expectations.py
@@ -3,7 +3,7 @@
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions.ingress import read_flow, server_book, shared
+from bilberryridge.decisions.ingress import open_work, read_flow, server_book
 
 FIRST_TOKEN_S = 0.025
 """Time to the first token of an empty prompt at an idle engine."""
@@ -60,7 +60,7 @@
     state: server_book.ServerState, engine: ingress.Engine | None
 ) -> Expectation:
     """Say what an empty prompt would meet if no other prompt waited."""
-    total = state.total()
+    total = state.work.sums
     if engine is None:
         return _at_plain(state, total, True)
     wait_s = _slot_wait_s(total, engine)
@@ -75,7 +75,7 @@
     now_s: float,
 ) -> Expectation:
     """Say what a request would meet at a server now."""
-    total = state.total()
+    total = state.work.sums
     if engine is None or prompt is None:
         return _at_plain(state, total, is_urgent)
     n_unread = max(0, prompt.n_tokens - state.memory.n_held(prompt.parts))
@@ -90,13 +90,13 @@
     return Expectation(first_s, queue_s, n_unread, read_s, rest_s)
 
 
-def _slot_wait_s(total: shared.ServerShare, engine: ingress.Engine) -> float:
+def _slot_wait_s(total: open_work.Sums, engine: ingress.Engine) -> float:
     n_over = total.n_open + 1 - engine.n_slots
     return max(0, n_over) * STREAM_S / engine.n_slots
 
 
 def _memory_wait_s(
-    total: shared.ServerShare, engine: ingress.Engine, prompt: ingress.Prompt
+    total: open_work.Sums, engine: ingress.Engine, prompt: ingress.Prompt
 ) -> float:
     n_needed = total.n_memory_tokens + prompt.n_tokens + prompt.n_answer_tokens
     n_over = n_needed - MEMORY_PART * engine.n_memory_tokens
@@ -104,7 +104,7 @@
 
 
 def _at_plain(
-    state: server_book.ServerState, total: shared.ServerShare, is_urgent: bool
+    state: server_book.ServerState, total: open_work.Sums, is_urgent: bool
 ) -> Expectation:
     n_slots = max(1, state.record.n_slots)
     work_s = PLAIN_S * state.pace(is_urgent)
--- a/packages/decisions/bilberryridge/decisions/ingress/load_flow.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_flow.py
@@ -109,7 +109,7 @@
 def _service_load(
     service: ingress.Service, servers: list[server_book.ServerState], now_s: float
 ) -> shared.ServiceLoad:
-    totals = [server.total() for server in servers]
+    totals = [server.work.sums for server in servers]
     base_s = min(
         expectations.without_backlog(server, service.engine).first_s
         + server.fault(now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -10,18 +10,22 @@
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions import rendezvous
 from bilberryridge.decisions.ingress import expectations, regions, server_book, state
 
 READ_WEIGHT = 0.7
 """Seconds that a second of prompt reading counts besides: it delays later requests."""
 FAULT_WEIGHT = 1.5
 """Latency goals that a certain failure costs: the request is late or lost."""
+N_OWN_PARTS = 1
+"""Last parts of a prompt that belong to one request; those before it are shared."""
 HOME_PART = 0.8
 """Part of the time that an expectation may use within which a request goes to the first
 server of its shared part that is soon enough."""
 HOME_FAULT = 0.2
 """Fault rate that such a server may have above the best one's."""
+MAX_COMPARED = 48
+"""Servers that are compared for a request: bounds the time of a decision, and of that
+many the best is nearly as good as of all."""
 REGION_BIAS_S = 0.08
 """Another region must be better by this: traffic between regions is dear and thin."""
 STAY_PART = 0.5
@@ -123,19 +127,30 @@
     if not item.route.allows(st.cfg.own.region):
         return None
     candidates = _candidates(st, item, now_s)
-    rows = [_cost(server, item, now_s) for server in candidates]
-    best = min(rows, key=_first, default=None)
-    if best is None or not item.req.prompt or len(item.req.prompt.parts) < 2:
-        return best
+    if not candidates:
+        return None
+    prompt = item.req.prompt
+    if prompt is not None and len(prompt.parts) > N_OWN_PARTS:
+        candidates = _by_home(st, item, prompt, candidates)[:MAX_COMPARED]
+        return _first_soon(candidates, item, now_s)
+    if len(candidates) > MAX_COMPARED:
+        candidates = st.random_state.sample(candidates, MAX_COMPARED)
+    return min((_cost(server, item, now_s) for server in candidates), key=_first)
+
+
+def _first_soon(
+    candidates: list[server_book.ServerState], item: state.OpenRequest, now_s: float
+) -> tuple[float, ToServer]:
+    """Return the first server that is soon enough, else the cheapest."""
     soon_s = HOME_PART * _in_time_s(item, now_s)
-    most_fault = best[1].server.fault(now_s) + HOME_FAULT
-    homes = (
-        row
-        for row in _by_home(item.req.prompt, rows)
-        if row[1].expected.first_s <= soon_s
-        and row[1].server.fault(now_s) <= most_fault
-    )
-    return next(homes, best)
+    most_fault = min(server.fault(now_s) for server in candidates) + HOME_FAULT
+    rows = []
+    for server in candidates:
+        row = _cost(server, item, now_s)
+        if row[1].expected.first_s <= soon_s and server.fault(now_s) <= most_fault:
+            return row
+        rows.append(row)
+    return min(rows, key=_first)
 
 
 def _first(row: tuple[float, ToServer]) -> float:
@@ -143,19 +158,19 @@
 
 
 def _by_home(
-    prompt: ingress.Prompt, rows: list[tuple[float, ToServer]]
-) -> list[tuple[float, ToServer]]:
+    st: state.State,
+    item: state.OpenRequest,
+    prompt: ingress.Prompt,
+    candidates: list[server_book.ServerState],
+) -> list[server_book.ServerState]:
     """Return the servers in the order in which a shared part's requests fill them.
 
     All daemons of the region rank them alike; each further server that reads the part
     has less memory left for others.
     """
-    key = rendezvous.seed(prompt.parts[-2].id)
-
-    def weight(row: tuple[float, ToServer]) -> int:
-        return rendezvous.mixed(key, rendezvous.seed(row[1].server.record.id))
-
-    return sorted(rows, key=weight, reverse=True)
+    shared_part = prompt.parts[-1 - N_OWN_PARTS]
+    ranks = st.book.ranks(item.service.name, shared_part.id)
+    return sorted(candidates, key=lambda server: ranks[server.record.id])
 
 
 def _candidates(
--- a/packages/decisions/bilberryridge/decisions/ingress/request_flow.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_flow.py
@@ -189,7 +189,7 @@
     server = st.book.by_id.get(attempt.server_id)
     if server is None:
         return
-    server.work.pop((item.req.id, attempt.id), None)
+    server.work.end((item.req.id, attempt.id))
     severity = _SEVERITY[event.result]
     if event.result is events.Result.ANSWERED and event.status >= 500:
         severity = server_book.STATUS_FAULT
@@ -348,7 +348,7 @@
     st.emit(effects.CancelAttempt(item.req.id, item.attempt.id))
     server = st.book.by_id.get(item.attempt.server_id)
     if server is not None:
-        server.work.pop((item.req.id, item.attempt.id), None)
+        server.work.end((item.req.id, item.attempt.id))
     item.attempt = None
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -1,7 +1,7 @@
 """Sends a request to the place that was chosen for it."""
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions.ingress import effects, placement, server_book, state
+from bilberryridge.decisions.ingress import effects, open_work, placement, state
 
 FIRST_FACTOR = 3.0
 """Times the expectation that a first answer may take before a repeat is tried."""
@@ -24,7 +24,7 @@
     attempt = _begin(st, item, record.id, "", st.cfg.own.region, now_s)
     prompt = item.req.prompt
     n_memory = prompt.n_tokens + prompt.n_answer_tokens if prompt else 0
-    work = server_book.Work(
+    work = open_work.Work(
         expected.n_unread_tokens, n_memory, item.is_urgent, now_s, expected.first_s
     )
     server.note_sent((item.req.id, attempt.id), work, now_s)
@@ -33,7 +33,7 @@
         server.new_parts += [(part.id, part.n_tokens) for part in prompt.parts]
     if server.is_cold(now_s):
         server.gate.note_send(now_s)
-    total = server.total()
+    total = server.work.sums
     basis = {
         "route": item.route.name,
         "expected_s": round(expected.first_s, 3),
--- a/packages/decisions/bilberryridge/decisions/ingress/server_book.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_book.py
@@ -3,8 +3,10 @@
 import attrs
 
 from bilberryridge.core import ingress
+from bilberryridge.decisions import rendezvous
 from bilberryridge.decisions.ingress import (
     events,
+    open_work,
     prompt_memory,
     read_flow,
     shared,
@@ -23,37 +25,18 @@
 """Weight of the newest attempt in a server's fault rate."""
 FAULT_HALF_LIFE_S = 3.0
 """An unused server's fault rate halves in this time, so that it is tried again."""
+OTHERS_FAULT_PART = 0.5
+"""Weight of another daemon's fault rate: its way there may be what fails."""
 STATUS_FAULT = 0.4
 """A failure that the server answers weighs less: some are the request's own."""
 FIRST_AWAY_S, MAX_AWAY_S = 0.5, 4.0
 """How long a server is left out after a failed connection; doubles each time."""
+MAX_RANKINGS = 200
+"""Rankings of servers that are kept, some 20 kB each at 200 servers."""
 MEMORY_FOR_PARTS = 0.7
 """Part of an engine's memory that is expected to be left for cached prompt parts."""
 
 
-@attrs.define
-class Work:
-    """An open attempt at a server.
-
-    Parameters
-    ----------
-    n_pending_tokens : int
-        Prompt tokens that it must read; 0 once it has begun.
-    n_memory_tokens : int
-    is_urgent : bool
-    sent_s, expected_s : float
-        When it was sent and how long its first answer was expected to take.
-    has_begun : bool
-    """
-
-    n_pending_tokens: int
-    n_memory_tokens: int
-    is_urgent: bool
-    sent_s: float
-    expected_s: float
-    has_begun: bool = False
-
-
 @attrs.define
 class ServerState:
     """A backend server, as seen from here.
@@ -69,8 +52,7 @@
     memory: prompt_memory.PromptMemory
     cold_until_s: float = 0.0
     gate: warm_up.WarmUpGate = attrs.field(factory=warm_up.WarmUpGate)
-    work: dict[tuple[str, int], Work] = attrs.field(factory=dict)
-    others: dict[str, shared.ServerShare] = attrs.field(factory=dict)
+    work: open_work.OpenWork = attrs.field(factory=open_work.OpenWork)
     new_parts: list[tuple[str, int]] = attrs.field(factory=list)
     told: shared.ServerShare = attrs.field(factory=shared.ServerShare)
     urgent_pace: float = 1.0
@@ -85,8 +67,7 @@
 
     def fault(self, now_s: float) -> float:
         """Return how often attempts fail lately, 0 to 1; other daemons' views count."""
-        own = self._fault * 0.5 ** ((now_s - self._fault_s) / FAULT_HALF_LIFE_S)
-        return max([own, *(share.fault * 0.5 for share in self.others.values())])
+        return max(self.own_fault(now_s), OTHERS_FAULT_PART * self.work.worst_fault)
 
     def pace(self, is_urgent: bool) -> float:
         """Return the measured slowness against the expectation.
@@ -97,6 +78,8 @@
 
     def own_fault(self, now_s: float) -> float:
         """Return the fault rate of this daemon's own attempts."""
+        if self._fault == 0.0:
+            return 0.0
         return self._fault * 0.5 ** ((now_s - self._fault_s) / FAULT_HALF_LIFE_S)
 
     def note_result(self, severity: float, now_s: float) -> None:
@@ -112,13 +95,11 @@
         self.away_for_s = min(MAX_AWAY_S, max(FIRST_AWAY_S, 2 * self.away_for_s))
         self.away_until_s = now_s + self.away_for_s
 
-    def note_first(self, key: tuple[str, int], now_s: float) -> float | None:
+    def note_first(self, key: open_work.Key, now_s: float) -> float | None:
         """Learn from the first bytes of an answer; return the time they took."""
-        work = self.work.get(key)
-        if work is None or work.has_begun:
+        work = self.work.note_begun(key)
+        if work is None:
             return None
-        work.has_begun = True
-        work.n_pending_tokens = 0
         took_s = now_s - work.sent_s
         before = self.pace(work.is_urgent)
         ratio = min(MAX_PACE, max(MIN_PACE, took_s / work.expected_s * before))
@@ -141,9 +122,9 @@
         ratio = min(MAX_TOKEN_PACE, max(MIN_TOKEN_PACE, ratio))
         self.token_pace += TOKEN_GAIN * (ratio - self.token_pace)
 
-    def note_sent(self, key: tuple[str, int], work: Work, now_s: float) -> None:
+    def note_sent(self, key: open_work.Key, work: open_work.Work, now_s: float) -> None:
         """Count an attempt of this daemon."""
-        self.work[key] = work
+        self.work.begin(key, work)
         self.n_sent_tokens += work.n_pending_tokens
         self.flow.note(work.n_pending_tokens, now_s)
 
@@ -151,31 +132,12 @@
         """Return whether it still warms up."""
         return now_s < self.cold_until_s
 
-    def total(self) -> shared.ServerShare:
-        """Return the open work at the server, of all daemons of the region."""
-        own = self.own_share(())
-        rows = [own, *self.others.values()]
-        return shared.ServerShare(
-            n_open=sum(row.n_open for row in rows),
-            n_pending_tokens=sum(row.n_pending_tokens for row in rows),
-            n_urgent_tokens=sum(row.n_urgent_tokens for row in rows),
-            n_memory_tokens=sum(row.n_memory_tokens for row in rows),
-        )
-
     def own_share(
-        self, parts: tuple[tuple[str, int], ...], fault: float = 0.0
+        self, parts: tuple[tuple[str, int], ...], now_s: float
     ) -> shared.ServerShare:
         """Return this daemon's part of the open work."""
-        rows = self.work.values()
-        return shared.ServerShare(
-            n_open=len(rows),
-            n_pending_tokens=sum(row.n_pending_tokens for row in rows),
-            n_urgent_tokens=sum(row.n_pending_tokens for row in rows if row.is_urgent),
-            n_memory_tokens=sum(row.n_memory_tokens for row in rows),
-            parts=parts,
-            fault=fault,
-            n_sent_tokens=self.n_sent_tokens,
-        )
+        fault = round(self.own_fault(now_s), 1)
+        return self.work.share(parts, fault, self.n_sent_tokens)
 
 
 class ServerBook:
@@ -192,6 +154,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.by_id: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
+        self._ranks: dict[tuple[str, str], dict[str, int]] = {}
 
     def update(
         self,
@@ -227,6 +190,22 @@
         """Return the service's registered servers."""
         return self._by_service.get(service, [])
 
+    def ranks(self, service: str, key: str) -> dict[str, int]:
+        """Return the places of the service's servers for a key, the first 0.
+
+        They are the same at all daemons that know the same servers, by rendezvous
+        hashing.
+        """
+        ranks = self._ranks.get((service, key))
+        if ranks is None:
+            if len(self._ranks) >= MAX_RANKINGS:
+                self._ranks.clear()
+            names = [state.record.id for state in self.of_service(service)]
+            ranked = rendezvous.ranked(key, names)
+            ranks = {name: place for place, name in enumerate(ranked)}
+            self._ranks[service, key] = ranks
+        return ranks
+
     def usable(self, service: str, now_s: float) -> list[ServerState]:
         """Return the servers that may get new work at all."""
         return [
@@ -240,7 +219,7 @@
     def forget_peer(self, vm: str) -> None:
         """Drop what another daemon told: it is gone, and its work with it."""
         for state in self.by_id.values():
-            state.others.pop(vm, None)
+            state.work.forget(vm)
 
     def take_share(
         self, vm: str, shares: dict[str, shared.ServerShare], now_s: float
@@ -251,18 +230,17 @@
             if state is None:
                 continue
             state.memory.note(ingress.Part(*part) for part in share.parts)
-            before = state.others.get(vm)
+            before = state.work.others.get(vm)
             if before is not None:
                 n_new = share.n_sent_tokens - before.n_sent_tokens
                 state.flow.note(max(0, n_new), now_s)
-            state.others[vm] = attrs.evolve(share, parts=())
+            state.work.take(vm, attrs.evolve(share, parts=()))
 
     def changed_shares(self, now_s: float) -> dict[str, shared.ServerShare]:
         """Return this daemon's shares that changed since they were last told."""
         changed = {}
         for server_id, state in self.by_id.items():
-            fault = round(state.own_fault(now_s), 1)
-            share = state.own_share(tuple(state.new_parts), fault)
+            share = state.own_share(tuple(state.new_parts), now_s)
             if share == state.told:
                 continue
             changed[server_id] = share
@@ -273,9 +251,9 @@
     def all_shares(self, now_s: float) -> dict[str, shared.ServerShare]:
         """Return all of this daemon's shares, for a daemon that knows none."""
         return {
-            server_id: state.own_share((), round(state.own_fault(now_s), 1))
+            server_id: state.own_share((), now_s)
             for server_id, state in self.by_id.items()
-            if state.work
+            if state.work.own
         }
 
     def _take(
@@ -301,6 +279,7 @@
 
     def _index(self) -> None:
         self._by_service = {}
+        self._ranks.clear()
         for state in self.by_id.values():
             self._by_service.setdefault(state.record.service, []).append(state)
 
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
@@ -1,7 +1,13 @@
 """Loads that placement answers, and what callers get."""
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions.ingress import effects, events, shared
+from bilberryridge.decisions.ingress import (
+    effects,
+    events,
+    expectations,
+    placement,
+    shared,
+)
 from bilberryridge.decisions.ingress.tests import deployment
 
 PEER = deployment.entry("vm-2", "d2")
@@ -54,7 +60,7 @@
     for n in range(100):
         parts = (ingress.Part(f"part-{n}", 5_000), ingress.Part(f"own-{n}", 1_000))
         made.arrive(str(n), "digest", prompt=deployment.prompt(6_000, parts))
-    counts = [len(made.node.state.book.by_id[name].work) for name in names]
+    counts = [len(made.node.state.book.by_id[name].work.own) for name in names]
     assert max(counts) <= 8
 
 
@@ -181,7 +187,7 @@
     used = made.arrive("1", "digest", prompt=deployment.prompt()).server.id
     assert used == "b"
     made.handle(events.LinkDown("vm-3"))
-    assert not made.node.state.book.by_id["a"].others
+    assert not made.node.state.book.by_id["a"].work.others
 
 
 def test_server_that_fails_is_avoided_and_tried_again():
@@ -197,3 +203,32 @@
     for n in range(10, 30):
         used.add(made.arrive(str(n), "unsafe").server.id)
     assert bad in used
+
+
+def test_decision_compares_a_bounded_number_of_servers(monkeypatch):
+    n_asked = []
+    at_server = expectations.at_server
+    monkeypatch.setattr(
+        expectations, "at_server", lambda *args: n_asked.append(1) or at_server(*args)
+    )
+    made = deployment.Daemon(engines(*(f"s{n}" for n in range(400))))
+    parts = (ingress.Part("hot", 5_000), ingress.Part("own", 1_000))
+    for n in range(60):
+        n_asked.clear()
+        made.arrive(f"h{n}", "digest", prompt=deployment.prompt(6_000, parts))
+        made.arrive(f"p{n}", "query", prompt=deployment.prompt(6_000))
+        assert len(n_asked) <= 2 * placement.MAX_COMPARED
+
+
+def test_ranking_of_servers_follows_those_that_come_and_go():
+    made = deployment.Daemon(engines("a", "b", "c"))
+    book = made.node.state.book
+    before = book.ranks("model", "hot")
+    first = min(before, key=before.get)
+    rest = [name for name in "abc" if name != first]
+    made.handle(events.ServersRead(engines(*rest)))
+    after = book.ranks("model", "hot")
+    assert sorted(after) == rest
+    assert sorted(after, key=after.get) == [
+        n for n in sorted(before, key=before.get) if n != first
+    ]
--- a/packages/standins/bilberryridge/standins/ingress_play/baselines.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/baselines.py
@@ -39,7 +39,7 @@
     """Send to the server of the region with the fewest requests."""
     usable = _usable(st, item, now_s)
     st.random_state.shuffle(usable)
-    return _to(min(usable, key=lambda server: server.total().n_open), item, now_s)
+    return _to(min(usable, key=lambda server: server.work.sums.n_open), item, now_s)
 
 
 def by_prompt(
