--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -25,6 +25,9 @@
     is_stream : bool
     is_fresh : bool
         Whether a connection that was idle for long may not be used.
+    fetch_from : str
+        Address of a server that keeps leading parts of the prompt, from which the
+        server is to fetch them; empty for none.
     basis : mapping
         What the choice rests on, for the log.
     """
@@ -39,6 +42,7 @@
     first_within_s: float | None = None
     next_within_s: float | None = None
     basis: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
+    fetch_from: str = ""
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/expectations.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/expectations.py
@@ -16,6 +16,11 @@
 """Memory that ending streams free in a second, when it is full."""
 MEMORY_PART = 0.92
 """Part of an engine's memory that running requests may take before one waits."""
+MIN_FETCHED_TOKENS = 300
+"""Fewer are read about as fast as they are fetched."""
+FETCH_S, FETCH_S_PER_TOKEN = 0.004, 5e-7
+"""To set a transfer between engines up, and for each token: 18 kB over 550 Gbit/s,
+twice that between failure domains."""
 PLAIN_S = 0.03
 """Usual work of a plain service's request, before anything was measured."""
 FULL_PLAIN_S = 5.0
@@ -40,6 +45,8 @@
         Engine time that reading them takes from all others.
     rest_s : float
         Time from the first answer to the end of a stream.
+    n_fetched_tokens : int
+        Prompt tokens that are fetched from another server's memory.
     """
 
     first_s: float
@@ -47,6 +54,7 @@
     n_unread_tokens: int = 0
     read_s: float = 0.0
     rest_s: float = 0.0
+    n_fetched_tokens: int = 0
 
 
 def n_tokens_ahead(n_pending: int, n_urgent: int, is_urgent: bool) -> float:
@@ -73,12 +81,28 @@
     prompt: ingress.Prompt | None,
     is_urgent: bool,
     now_s: float,
+    n_elsewhere: int = 0,
 ) -> Expectation:
-    """Say what a request would meet at a server now."""
+    """Say what a request would meet at a server now.
+
+    Parameters
+    ----------
+    state : ServerState
+    engine : Engine or None
+    prompt : Prompt or None
+    is_urgent : bool
+    now_s : float
+    n_elsewhere : int
+        Leading prompt tokens that another server keeps and would hand over.
+    """
     total = state.work.sums
     if engine is None or prompt is None:
         return _at_plain(state, total, is_urgent)
-    n_unread = max(0, prompt.n_tokens - state.memory.n_held(prompt.parts))
+    n_held = state.memory.n_held(prompt.parts)
+    n_fetched = n_elsewhere - n_held
+    if n_fetched < MIN_FETCHED_TOKENS:
+        n_fetched = 0
+    n_unread = max(0, prompt.n_tokens - n_held - n_fetched)
     n_before = n_tokens_ahead(total.n_pending_tokens, total.n_urgent_tokens, is_urgent)
     pace = state.pace(is_urgent)
     rate = read_flow.TOKENS_PER_S / pace
@@ -86,8 +110,10 @@
     queue_s += n_before / rate
     read_s = n_unread / rate
     first_s = FIRST_TOKEN_S * pace + queue_s + read_s
+    if n_fetched:
+        first_s += FETCH_S + n_fetched * FETCH_S_PER_TOKEN
     rest_s = prompt.n_answer_tokens * state.token_s(now_s)
-    return Expectation(first_s, queue_s, n_unread, read_s, rest_s)
+    return Expectation(first_s, queue_s, n_unread, read_s, rest_s, n_fetched)
 
 
 def _slot_wait_s(total: open_work.Sums, engine: ingress.Engine) -> float:
--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -14,6 +14,11 @@
 
 READ_WEIGHT = 0.7
 """Seconds that a second of prompt reading counts besides: it delays later requests."""
+FETCH_WEIGHT_S = 4e-6
+"""Seconds that a fetched token counts besides: links between engines are shared, and
+the users put a token's transfer at a seventh of its reading."""
+KEPT_AFTER_S = 0.5
+"""After a prompt was sent to a server its parts are read and may be fetched there."""
 FAULT_WEIGHT = 1.5
 """Latency goals that a certain failure costs: the request is late or lost."""
 N_OWN_PARTS = 1
@@ -53,10 +58,27 @@
 
 @attrs.frozen
 class ToServer:
-    """The request goes to a server of this region."""
+    """The request goes to a server of this region.
+
+    Parameters
+    ----------
+    server : ServerState
+    expected : Expectation
+    keeper : ServerState or None
+        Another server, from which leading parts of the prompt are fetched.
+    """
 
     server: server_book.ServerState
     expected: expectations.Expectation
+    keeper: server_book.ServerState | None = None
+
+
+@attrs.frozen
+class Kept:
+    """Leading prompt tokens that a server keeps and may hand over."""
+
+    n_tokens: int
+    server: server_book.ServerState
 
 
 @attrs.frozen
@@ -132,21 +154,41 @@
     prompt = item.req.prompt
     if prompt is not None and len(prompt.parts) > N_OWN_PARTS:
         candidates = _by_home(st, item, prompt, candidates)[:MAX_COMPARED]
-        return _first_soon(candidates, item, now_s)
+        kept = _most_kept(candidates, prompt, now_s)
+        return _first_soon(candidates, item, kept, now_s)
     if len(candidates) > MAX_COMPARED:
         candidates = st.random_state.sample(candidates, MAX_COMPARED)
-    return min((_cost(server, item, now_s) for server in candidates), key=_first)
+    rows = [_cost(server, item, None, now_s) for server in candidates]
+    return min(rows, key=_first)
+
+
+def _most_kept(
+    candidates: list[server_book.ServerState], prompt: ingress.Prompt, now_s: float
+) -> Kept | None:
+    """Return the sound server that keeps most of a prompt's shared parts."""
+    shared_parts = prompt.parts[:-N_OWN_PARTS]
+    noted_by_s = now_s - KEPT_AFTER_S
+    best = None
+    for server in candidates:
+        n_tokens = server.memory.n_held(shared_parts, noted_by_s)
+        is_better = n_tokens > (best.n_tokens if best else 0)
+        if is_better and server.fault(now_s) <= HOME_FAULT:
+            best = Kept(n_tokens, server)
+    return best
 
 
 def _first_soon(
-    candidates: list[server_book.ServerState], item: state.OpenRequest, now_s: float
+    candidates: list[server_book.ServerState],
+    item: state.OpenRequest,
+    kept: Kept | None,
+    now_s: float,
 ) -> tuple[float, ToServer]:
     """Return the first server that is soon enough, else the cheapest."""
     soon_s = HOME_PART * _in_time_s(item, now_s)
     most_fault = min(server.fault(now_s) for server in candidates) + HOME_FAULT
     rows = []
     for server in candidates:
-        row = _cost(server, item, now_s)
+        row = _cost(server, item, kept, now_s)
         if row[1].expected.first_s <= soon_s and server.fault(now_s) <= most_fault:
             return row
         rows.append(row)
@@ -200,14 +242,24 @@
 
 
 def _cost(
-    server: server_book.ServerState, item: state.OpenRequest, now_s: float
+    server: server_book.ServerState,
+    item: state.OpenRequest,
+    kept: Kept | None,
+    now_s: float,
 ) -> tuple[float, ToServer]:
     expected = expectations.at_server(
-        server, item.service.engine, item.req.prompt, item.is_urgent, now_s
+        server,
+        item.service.engine,
+        item.req.prompt,
+        item.is_urgent,
+        now_s,
+        kept.n_tokens if kept and kept.server is not server else 0,
     )
     cost_s = expected.first_s + READ_WEIGHT * expected.read_s
+    cost_s += FETCH_WEIGHT_S * expected.n_fetched_tokens
     cost_s += FAULT_WEIGHT * item.route.latency_goal_s * server.fault(now_s)
-    return cost_s, ToServer(server, expected)
+    keeper = kept.server if kept and expected.n_fetched_tokens else None
+    return cost_s, ToServer(server, expected, keeper)
 
 
 def _best_there(
--- a/packages/decisions/bilberryridge/decisions/ingress/prompt_memory.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/prompt_memory.py
@@ -1,6 +1,7 @@
 """Which prompt parts a model engine keeps, by what it was sent."""
 
 import collections
+import math
 from collections.abc import Iterable
 
 from bilberryridge.core import ingress
@@ -18,37 +19,52 @@
     --------
     >>> memory = PromptMemory(100)
     >>> a, b = ingress.Part("a", 60), ingress.Part("b", 30)
-    >>> memory.note([a, b])
+    >>> memory.note([a, b], now_s=1.0)
     >>> memory.n_held([a, b]), memory.n_held([b]), memory.n_held([b, a])
     (90, 30, 90)
-    >>> memory.note([ingress.Part("c", 50)])
+    >>> memory.n_held([a, b], noted_by_s=0.9)
+    0
+    >>> memory.note([ingress.Part("c", 50)], now_s=2.0)
     >>> memory.n_held([a, b])
     0
     """
 
     def __init__(self, max_tokens: int):
         self.max_tokens = max_tokens
-        self._n_by_part: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._rows: collections.OrderedDict[str, tuple[int, float]] = (
+            collections.OrderedDict()
+        )
         self._n_tokens = 0
 
-    def n_held(self, parts: Iterable[ingress.Part]) -> int:
-        """Return the tokens of the leading parts that need not be read again."""
+    def n_held(
+        self, parts: Iterable[ingress.Part], noted_by_s: float = math.inf
+    ) -> int:
+        """Return the tokens of the leading parts that need not be read again.
+
+        Parameters
+        ----------
+        parts : iterable of Part
+        noted_by_s : float
+            What was first sent there later doesn't count: it may not be read yet.
+        """
         n_tokens = 0
         for part in parts:
-            if part.id not in self._n_by_part:
+            row = self._rows.get(part.id)
+            if row is None or row[1] > noted_by_s:
                 break
             n_tokens += part.n_tokens
         return n_tokens
 
-    def note(self, parts: Iterable[ingress.Part]) -> None:
+    def note(self, parts: Iterable[ingress.Part], now_s: float) -> None:
         """Take over the parts of a prompt that was sent there."""
         for part in parts:
-            self._n_tokens += part.n_tokens - self._n_by_part.pop(part.id, 0)
-            self._n_by_part[part.id] = part.n_tokens
-        while self._n_tokens > self.max_tokens and self._n_by_part:
-            self._n_tokens -= self._n_by_part.popitem(last=False)[1]
+            n_before, since_s = self._rows.pop(part.id, (0, now_s))
+            self._n_tokens += part.n_tokens - n_before
+            self._rows[part.id] = (part.n_tokens, since_s)
+        while self._n_tokens > self.max_tokens and self._rows:
+            self._n_tokens -= self._rows.popitem(last=False)[1][0]
 
     def clear(self) -> None:
         """Forget everything: the engine has started anew."""
-        self._n_by_part.clear()
+        self._rows.clear()
         self._n_tokens = 0
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -29,7 +29,7 @@
     )
     server.note_sent((item.req.id, attempt.id), work, now_s)
     if prompt is not None and item.service.engine is not None:
-        server.memory.note(prompt.parts)
+        server.memory.note(prompt.parts, now_s)
         server.new_parts += [(part.id, part.n_tokens) for part in prompt.parts]
     if server.is_cold(now_s):
         server.gate.note_send(now_s)
@@ -38,6 +38,7 @@
         "route": item.route.name,
         "expected_s": round(expected.first_s, 3),
         "unread": expected.n_unread_tokens,
+        "fetched": expected.n_fetched_tokens,
         "open": total.n_open,
         "pending": total.n_pending_tokens,
         "pace": round(server.pace(item.is_urgent), 2),
@@ -56,6 +57,7 @@
             _first_within_s(item, expected.first_s),
             _next_within_s(item),
             basis,
+            choice.keeper.record.address if choice.keeper else "",
         )
     )
 
--- a/packages/decisions/bilberryridge/decisions/ingress/server_book.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_book.py
@@ -229,7 +229,8 @@
             state = self.by_id.get(server_id)
             if state is None:
                 continue
-            state.memory.note(ingress.Part(*part) for part in share.parts)
+            parts = (ingress.Part(*part) for part in share.parts)
+            state.memory.note(parts, now_s)
             before = state.work.others.get(vm)
             if before is not None:
                 n_new = share.n_sent_tokens - before.n_sent_tokens
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
@@ -232,3 +232,69 @@
     assert sorted(after, key=after.get) == [
         n for n in sorted(before, key=before.get) if n != first
     ]
+
+
+HOT = ingress.Part("hot", 5_000)
+
+
+def hot_prompt(name):
+    return deployment.prompt(7_000, (HOT, ingress.Part(f"own-{name}", 2_000)))
+
+
+def daemon_with_hot_part_at_a_busy_server(age_s=1.0):
+    """Return a daemon, the server that keeps the part and the other one."""
+    made = deployment.Daemon(engines("a", "b"), (deployment.entry("vm-3"),))
+    sent = made.arrive("0", "digest", prompt=hot_prompt("0"))
+    made.end(sent, "answered", status=200, is_committed=True)
+    made.now_s += age_s
+    keeper = sent.server
+    busy = shared.ServerShare(n_open=10, n_pending_tokens=60_000)
+    made.handle(events.PeerSaid("vm-3", shared.DomainLoads({keeper.id: busy})))
+    return made, keeper
+
+
+def test_parts_that_a_busy_server_keeps_are_fetched_by_another():
+    made, keeper = daemon_with_hot_part_at_a_busy_server()
+    sent = made.arrive("1", "digest", prompt=hot_prompt("1"))
+    assert sent.server.id != keeper.id
+    assert sent.fetch_from == keeper.address
+    assert sent.basis["unread"] == 2_000
+    assert sent.basis["fetched"] == 5_000
+
+
+def test_nothing_is_fetched_where_the_parts_are_kept():
+    made, keeper = daemon_with_hot_part_at_a_busy_server()
+    made.handle(events.LinkDown("vm-3"))
+    sent = made.arrive("1", "digest", prompt=hot_prompt("1"))
+    assert sent.server.id == keeper.id
+    assert sent.fetch_from == ""
+
+
+def test_nothing_is_fetched_before_it_is_read():
+    made, _ = daemon_with_hot_part_at_a_busy_server(age_s=0.1)
+    sent = made.arrive("1", "digest", prompt=hot_prompt("1"))
+    assert sent.fetch_from == ""
+    assert sent.basis["unread"] == 7_000
+
+
+def test_nothing_is_fetched_from_a_server_that_fails_or_is_away():
+    made, keeper = daemon_with_hot_part_at_a_busy_server()
+    for _ in range(3):
+        made.node.state.book.by_id[keeper.id].note_result(1.0, made.now_s)
+    assert made.arrive("1", "digest", prompt=hot_prompt("1")).fetch_from == ""
+
+    made, keeper = daemon_with_hot_part_at_a_busy_server()
+    made.node.state.book.by_id[keeper.id].note_away(made.now_s)
+    assert made.arrive("1", "digest", prompt=hot_prompt("1")).fetch_from == ""
+
+
+def test_nothing_is_fetched_from_a_server_that_was_replaced():
+    made, keeper = daemon_with_hot_part_at_a_busy_server()
+    servers = [
+        deployment.server(
+            name, "model", n_slots=64, born_ms=1 if name == keeper.id else 0
+        )
+        for name in "ab"
+    ]
+    made.handle(events.ServersRead(tuple(servers)))
+    assert made.arrive("1", "digest", prompt=hot_prompt("1")).fetch_from == ""
--- a/packages/standins/bilberryridge/standins/ingress_play/__main__.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/__main__.py
@@ -39,16 +39,19 @@
     grown: Annotated[bool, typer.Option(help="The grown deployment.")] = False,
     length_s: Annotated[float, typer.Option(help="Time in which requests come.")] = 34,
 ) -> None:
-    """Print means: worth, in time by group, unanswered, tokens read again."""
+    """Print means: worth, in time by group, unanswered, tokens read again, fetched."""
     _set(change)
     regions = play.GROWN if grown else play.REGIONS
-    names = [group.name for group in callers.GROUPS]
+    groups = callers.GROWN_GROUPS if grown else callers.GROUPS
+    names = [group.name for group in groups]
     for load_x in x:
-        head = "".join(f"{name:>9}" for name in ["worth", *names, "none", "again"])
+        head = "".join(
+            f"{name:>9}" for name in ["worth", *names, "none", "again", "fetched"]
+        )
         print(f"load {load_x:4}  {head}")
         for rule in rules.split(",") if rules else baselines.RULES:
             choose = baselines.RULES[rule]
-            load = play.Load(load_x, length_s, regions)
+            load = play.Load(load_x, length_s, regions, groups)
             plays = [play.run(load, seed, choose) for seed in range(n_seeds)]
             rows = [
                 [
@@ -56,6 +59,7 @@
                     *(_in_time(played, name) for name in names),
                     _unanswered(played),
                     played.n_read_again / 1e6,
+                    played.n_fetched / 1e6,
                 ]
                 for played in plays
             ]
--- a/packages/standins/bilberryridge/standins/ingress_play/callers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/callers.py
@@ -92,6 +92,13 @@
     Group("lookup", 8.0, 0.3, 3.0, 1.0, 0.3, 2, ingress.RequestKind.SAFE),
 )
 """As a deployment of a growers' cooperative has them."""
+GROWN_GROUPS = (
+    attrs.evolve(GROUPS[0], mix=15.2, n_parts=372),
+    attrs.evolve(GROUPS[1], mix=58.9, goal_s=1.0, n_parts=2157),
+    attrs.evolve(GROUPS[2], mix=18.5, goal_s=0.5, patience_s=5.0, work_s=0.06),
+    attrs.evolve(GROUPS[3], mix=7.4, goal_s=0.5, patience_s=5.0, work_s=0.06),
+)
+"""As its grown deployment has them."""
 
 
 @attrs.define(eq=False)
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -137,10 +137,16 @@
             call.work_s,
             lambda: self._later(IN_REGION_S, self._on_first, key),
             lambda: self._later(IN_REGION_S, self._on_whole, key),
+            self._keeper(effect.fetch_from),
         )
         server = self._by_id[effect.server.id]
         self._loop.after(IN_REGION_S, lambda: self._reach(server, key))
 
+    def _keeper(self, address: str) -> servers.EngineModel | None:
+        # Servers' addresses are their names here.
+        keeper = self._by_id.get(address)
+        return keeper if isinstance(keeper, servers.EngineModel) else None
+
     def _reach(self, server: servers.Server, key: tuple[str, int]) -> None:
         attempt = self._attempts.get(key)
         if attempt is None or attempt.job is None or server.accept(attempt.job):
--- a/packages/standins/bilberryridge/standins/ingress_play/play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/play.py
@@ -48,9 +48,9 @@
 )
 """Of a deployment of a growers' cooperative, with seven entry VMs."""
 GROWN = (
-    Region("ontario", 9, 23, 2, 146.0, 0.0),
-    Region("michigan", 7, 14, 2, 146.0, 10.0),
-    Region("ohio", 6, 8, 2, 146.0, 22.0),
+    Region("ontario", 9, 23, 2, 185.0, 0.0),
+    Region("michigan", 7, 14, 2, 141.0, 10.0),
+    Region("ohio", 6, 8, 2, 112.0, 22.0),
 )
 """The same grown, with a third of its daemons: these take the most time to play."""
 
@@ -65,11 +65,13 @@
         Times the usual requests.
     length_s : float
     regions : tuple of Region
+    groups : tuple of Group
     """
 
     x: float = 1.0
     length_s: float = 34.0
     regions: tuple[Region, ...] = REGIONS
+    groups: tuple[callers.Group, ...] = callers.GROUPS
 
 
 def run(load: Load, seed: int, choose: state.Chooser | None = None) -> "Played":
@@ -88,7 +90,7 @@
     used_s: dict[str, dict[str, float]] = {r.name: {} for r in load.regions}
     by_id = {r.id: _server(loop, r, used_s[r.domain]) for r in records}
     by_name = _daemons(loop, load, by_id, seed, choose)
-    _introduce(by_name, records)
+    _introduce(by_name, records, _table(load.groups))
     for daemon in by_name.values():
         loop.every(daemons.TICK_S, daemon.tick, load.length_s + SETTLE_S)
     seen = _arrivals(loop, load, by_name, seed)
@@ -115,6 +117,11 @@
         """Tokens of shared prompt parts read though an engine of the region had."""
         return sum(engine.n_read_again for engine in self.engines)
 
+    @property
+    def n_fetched(self) -> int:
+        """Tokens of prompt parts that an engine fetched from another."""
+        return sum(engine.n_fetched for engine in self.engines)
+
     def of(self, group: str) -> list[callers.Seen]:
         """Return what the callers of one group saw."""
         return [item for item in self.seen if item.group.name == group]
@@ -145,7 +152,7 @@
     return servers.PlainModel(loop, record.n_slots)
 
 
-def _table() -> ingress.RoutingTable:
+def _table(groups: tuple[callers.Group, ...]) -> ingress.RoutingTable:
     routes = tuple(
         ingress.Route(
             name=group.name,
@@ -159,7 +166,7 @@
             max_attempts=2 if group.rank else 1,
             is_resumable=group.name == "digest",
         )
-        for group in callers.GROUPS
+        for group in groups
     )
     services = {
         "model": ingress.Service("model", engine=daemons.ENGINE),
@@ -190,11 +197,13 @@
 
 
 def _introduce(
-    by_name: Mapping[str, daemons.Daemon], records: tuple[ingress.BackendServer, ...]
+    by_name: Mapping[str, daemons.Daemon],
+    records: tuple[ingress.BackendServer, ...],
+    table: ingress.RoutingTable,
 ) -> None:
     entries = tuple(daemon.entry for daemon in by_name.values())
     for daemon in by_name.values():
-        daemon.handle(node_events.TableRead(_table()))
+        daemon.handle(node_events.TableRead(table))
         daemon.handle(node_events.EntriesRead(entries))
         daemon.handle(node_events.ServersRead(records))
         for entry in entries:
@@ -215,8 +224,8 @@
             now_s += random_state.expovariate(rate)
             if now_s >= load.length_s:
                 break
-            weights = [group.mix for group in callers.GROUPS]
-            group = random_state.choices(callers.GROUPS, weights)[0]
+            weights = [group.mix for group in load.groups]
+            group = random_state.choices(load.groups, weights)[0]
             name = f"{region.name}-{len(seen)}"
             call = callers.draw_call(group, name, random_state)
             item = callers.Seen(group, now_s)
--- a/packages/standins/bilberryridge/standins/ingress_play/servers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/servers.py
@@ -35,6 +35,8 @@
         At a plain server.
     on_first, on_end : callable
         Called with the first token and after the last.
+    keeper : EngineModel or None
+        From which what it keeps of the prompt is fetched.
     """
 
     prompt: ingress.Prompt | None
@@ -43,6 +45,7 @@
     work_s: float
     on_first: Callable[[], None]
     on_end: Callable[[], None]
+    keeper: "EngineModel | None" = None
     n_unread: int = 0
     n_done: int = 0
     is_over: bool = False
@@ -101,6 +104,7 @@
     def __init__(self, loop: events.Loop, speed: EngineSpeed, used_s: dict[str, float]):
         self.speed = speed
         self.n_read_again = 0
+        self.n_fetched = 0
         self._loop = loop
         self._numbers = itertools.count()
         self._waiting: list[tuple[int, int, Job]] = []
@@ -158,15 +162,27 @@
         n_held = 0
         is_leading = True
         for part in job.prompt.parts:
-            is_leading = is_leading and part.id in self._kept
+            is_leading = is_leading and (self.keeps(part) or self._fetch(part, job))
             if is_leading:
-                n_held += self._kept[part.id]
-                self._kept.move_to_end(part.id)
+                n_held += part.n_tokens
             elif self._used_s.get(part.id, -math.inf) > now_s - USED_WITHIN_S:
                 self.n_read_again += part.n_tokens
             self._used_s[part.id] = now_s
         return max(1, job.n_memory_tokens - n_held)
 
+    def keeps(self, part: ingress.Part) -> bool:
+        """Return whether a part is kept; it counts as used then."""
+        if part.id not in self._kept:
+            return False
+        self._kept.move_to_end(part.id)
+        return True
+
+    def _fetch(self, part: ingress.Part, job: Job) -> bool:
+        if job.keeper is None or not job.keeper.keeps(part):
+            return False
+        self.n_fetched += part.n_tokens
+        return True
+
     def _read(self) -> int:
         n_left = self.speed.chunk_tokens
         for _, _, job in sorted(self._running, key=lambda row: row[:2]):
