A stream goes where it can end, in this region or another

Cause: of the digests that the emulator of the grown deployment refused at 1.3 of the load, 1,500 of 1,550 decisions were for the stream's rest: engines that read all the time give each stream few tokens, and nine of ten engines had room for a first token. The check came after the choice: the first server of a part, or the cheapest, was refused though another server here, or a region that idled, would have let the stream end.

Now servers and regions on which it can end go first; a region is left sooner (at 0.15 of the goal, without a bias), as reading at its peak slows all its streams.

--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -31,9 +31,9 @@
 MAX_COMPARED = 48
 """Servers that are compared for a request: bounds the time of a decision, and of that
 many the best is nearly as good as of all."""
-REGION_BIAS_S = 0.08
+REGION_BIAS_S = 0.0
 """Another region must be better by this: traffic between regions is dear and thin."""
-STAY_PART = 0.5
+STAY_PART = 0.15
 """Part of the time left to the latency goal within which a request stays in its region;
 the rest is for what the expectation misses."""
 URGENT_IN_TIME_PART, IN_TIME_PART = 0.95, 0.8
@@ -47,7 +47,7 @@
 """Longest first answer of a stream's rest: callers leave a silent stream at 6 s."""
 PATIENCE_PART = 0.8
 """Part of the caller's patience that an expectation may use."""
-REST_PART = 0.7
+REST_PART = 0.9
 """Part of a stream's expected rest that must fit into the caller's patience: callers'
 hints of its length are often far off."""
 MIN_RETRY_S, MAX_RETRY_S = 0.15, 4.0
@@ -126,16 +126,13 @@
     """
     here = _best_here(st, item, now_s)
     there = _best_there(st, item, now_s)
-    if here is None and there is None:
-        return Nowhere(None, _jittered(st, EMPTY_RETRY_S))
-    best: ToServer | ToRegion
-    if there is None:
-        assert here is not None
-        best = here[1]
-    elif here is None or _is_better_away(item, here[1], there, now_s):
+    best: ToServer | ToRegion | None = here
+    if here is None or (
+        there is not None and _is_better_away(item, here, there, now_s)
+    ):
         best = there
-    else:
-        best = here[1]
+    if best is None:
+        return Nowhere(None, _jittered(st, EMPTY_RETRY_S))
     if _is_soon_enough(item, best.expected, now_s):
         return best
     retry_after_s = _retry_after_s(st, item, best.expected)
@@ -144,8 +141,8 @@
 
 def _best_here(
     st: state.State, item: state.OpenRequest, now_s: float
-) -> tuple[float, ToServer] | None:
-    """Return the cheapest server of this region, with its cost."""
+) -> ToServer | None:
+    """Return the best server of this region."""
     if not item.route.allows(st.cfg.own.region):
         return None
     candidates = _candidates(st, item, now_s)
@@ -159,7 +156,7 @@
     if len(candidates) > MAX_COMPARED:
         candidates = st.random_state.sample(candidates, MAX_COMPARED)
     rows = [_cost(server, item, None, now_s) for server in candidates]
-    return min(rows, key=_first)
+    return _cheapest(rows, item, now_s)
 
 
 def _most_kept(
@@ -182,17 +179,27 @@
     item: state.OpenRequest,
     kept: Kept | None,
     now_s: float,
-) -> tuple[float, ToServer]:
+) -> ToServer:
     """Return the first server that is soon enough, else the cheapest."""
     soon_s = HOME_PART * _in_time_s(item, now_s)
     most_fault = min(server.fault(now_s) for server in candidates) + HOME_FAULT
     rows = []
     for server in candidates:
         row = _cost(server, item, kept, now_s)
-        if row[1].expected.first_s <= soon_s and server.fault(now_s) <= most_fault:
-            return row
+        expected = row[1].expected
+        is_soon = expected.first_s <= soon_s and _may_end(item, expected, now_s)
+        if is_soon and server.fault(now_s) <= most_fault:
+            return row[1]
         rows.append(row)
-    return min(rows, key=_first)
+    return _cheapest(rows, item, now_s)
+
+
+def _cheapest(
+    rows: list[tuple[float, ToServer]], item: state.OpenRequest, now_s: float
+) -> ToServer:
+    """Return the cheapest server of those that are soon enough, else of all."""
+    soon = [row for row in rows if _is_soon_enough(item, row[1].expected, now_s)]
+    return min(soon or rows, key=_first)[1]
 
 
 def _first(row: tuple[float, ToServer]) -> float:
@@ -280,13 +287,17 @@
         if expected is not None:
             entry = st.random_state.choice(entries)
             rows.append(ToRegion(entry, view, expected))
-    return min(rows, key=lambda row: row.expected.first_s, default=None)
+    soon = [row for row in rows if _is_soon_enough(item, row.expected, now_s)]
+    return min(soon or rows, key=lambda row: row.expected.first_s, default=None)
 
 
 def _is_better_away(
     item: state.OpenRequest, here: ToServer, there: ToRegion, now_s: float
 ) -> bool:
     """Return whether a request should leave its region."""
+    is_soon_here = _is_soon_enough(item, here.expected, now_s)
+    if is_soon_here != _is_soon_enough(item, there.expected, now_s):
+        return not is_soon_here
     goal_s = item.route.latency_goal_s
     here_s = here.expected.first_s + FAULT_WEIGHT * goal_s * here.server.fault(now_s)
     if here_s <= STAY_PART * _goal_left_s(item, now_s):
@@ -312,7 +323,7 @@
     left_s = item.deadline_s - now_s
     if expected.first_s > PATIENCE_PART * left_s:
         return False
-    if expected.first_s + REST_PART * expected.rest_s > left_s:
+    if not _may_end(item, expected, now_s):
         return False
     if item.is_committed:
         return expected.first_s <= RESUME_WITHIN_S
@@ -321,6 +332,14 @@
     return expected.queue_s <= LATE_PART * item.route.latency_goal_s
 
 
+def _may_end(
+    item: state.OpenRequest, expected: expectations.Expectation, now_s: float
+) -> bool:
+    """Return whether a stream is expected to end while its caller waits."""
+    end_s = expected.first_s + REST_PART * expected.rest_s
+    return end_s <= item.deadline_s - now_s
+
+
 def _retry_after_s(
     st: state.State, item: state.OpenRequest, expected: expectations.Expectation
 ) -> float:
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
@@ -298,3 +298,38 @@
     ]
     made.handle(events.ServersRead(tuple(servers)))
     assert made.arrive("1", "digest", prompt=hot_prompt("1")).fetch_from == ""
+
+
+def read_all_the_time(made, *names):
+    """Let engines read prompts for some seconds without a pause."""
+    for _ in range(100):
+        made.now_s += 0.1
+        for name in names:
+            made.node.state.book.by_id[name].flow.note(5_500, made.now_s)
+
+
+def test_stream_that_would_not_end_here_goes_to_a_region_that_reads_less():
+    made = deployment.Daemon(engines("a"), (PEER,))
+    read_all_the_time(made, "a")
+    made.handle(events.PeerSaid("vm-2", deployment.loads("west", token_s=0.01)))
+    long = ingress.Prompt(1_000, 400)
+    assert isinstance(made.arrive("1", "digest", prompt=long), effects.SendToPeer)
+
+
+def test_stream_that_ends_nowhere_in_time_is_refused():
+    made = deployment.Daemon(engines("a"), (PEER,))
+    read_all_the_time(made, "a")
+    made.handle(events.PeerSaid("vm-2", deployment.loads("west", token_s=0.08)))
+    long = ingress.Prompt(1_000, 400)
+    assert isinstance(made.arrive("1", "digest", prompt=long), effects.Refuse)
+
+
+def test_first_server_of_a_part_is_passed_over_where_the_stream_would_not_end():
+    made = deployment.Daemon(engines("a", "b"))
+    parts = (HOT, ingress.Part("own", 1_000))
+    first = made.arrive("0", "digest", prompt=deployment.prompt(6_000, parts)).server
+    read_all_the_time(made, first.id)
+    long = ingress.Prompt(6_000, 400, parts)
+    sent = made.arrive("1", "digest", prompt=long)
+    assert sends(sent)
+    assert sent.server.id != first.id
--- a/packages/standins/bilberryridge/standins/ingress_play/tests/test_play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/tests/test_play.py
@@ -1,9 +1,11 @@
 """Loads played without a network: what callers get of the product's placement."""
 
 import functools
+import math
 
 import pytest
 
+from bilberryridge.decisions.ingress import expectations
 from bilberryridge.standins.ingress_play import baselines, daemons, play
 
 SEED = 5
@@ -62,3 +64,18 @@
         n_in_time = sum(item.earned == item.group.worth for item in seen)
         assert n_in_time >= 0.5 * len(seen)
     assert overload.part_earned > 0.3
+
+
+def test_usual_load_earns_nearly_all():
+    """The part that a quiet day is to earn."""
+    assert played(1.0).part_earned >= 0.98
+
+
+@pytest.mark.parametrize("x", [1.0, 1.5])
+def test_parts_that_are_fetched_are_not_read_again(x, monkeypatch):
+    fetching = played(x)
+    monkeypatch.setattr(expectations, "MIN_FETCHED_TOKENS", math.inf)
+    load = play.Load(x, LENGTH_S)
+    reading = play.run(load, SEED)
+    assert fetching.n_read_again < reading.n_read_again
+    assert fetching.part_earned >= reading.part_earned - 0.01
