--- a/packages/standins/bilberryridge/standins/ingress_play/play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/play.py
@@ -90,7 +90,7 @@
     used_s: dict[str, dict[str, float]] = {r.name: {} for r in load.regions}
     by_id = {r.id: _server(loop, r, used_s[r.domain]) for r in records}
     by_name = _daemons(loop, load, by_id, seed, choose)
-    _introduce(by_name, records, _table(load.groups))
+    _introduce(by_name, records, table_of(load.groups))
     for daemon in by_name.values():
         loop.every(daemons.TICK_S, daemon.tick, load.length_s + SETTLE_S)
     seen = _arrivals(loop, load, by_name, seed)
@@ -152,7 +152,8 @@
     return servers.PlainModel(loop, record.n_slots)
 
 
-def _table(groups: tuple[callers.Group, ...]) -> ingress.RoutingTable:
+def table_of(groups: tuple[callers.Group, ...]) -> ingress.RoutingTable:
+    """Return the routes of the groups and their services."""
     routes = tuple(
         ingress.Route(
             name=group.name,
@@ -175,6 +176,13 @@
     return ingress.RoutingTable(1, routes, services)
 
 
+def entry_of(region: Region, number: int) -> ingress.EntryVm:
+    """Return the registration of a region's daemon."""
+    name = f"{region.name}-{number}"
+    addresses = [f"{name}:{port}" for port in (1, 2, 3)]
+    return ingress.EntryVm(name, "i1", region.name, region.name, *addresses)
+
+
 def _daemons(
     loop: events.Loop,
     load: Load,
@@ -187,9 +195,8 @@
     by_name: dict[str, daemons.Daemon] = {}
     for region in load.regions:
         for n in range(region.n_daemons):
-            name = f"{region.name}-{n}"
-            addresses = [f"{name}:{port}" for port in (1, 2, 3)]
-            entry = ingress.EntryVm(name, "i1", region.name, region.name, *addresses)
+            entry = entry_of(region, n)
+            name = entry.name
             cfg = state.NodeSettings(entry, region_by_domain)
             made = node.Node(cfg, random.Random(f"{seed}-{name}"), choose)
             by_name[name] = daemons.Daemon(loop, entry, made, by_id, by_name)
--- a/packages/standins/bilberryridge/standins/micro.py
+++ b/packages/standins/bilberryridge/standins/micro.py
@@ -6,7 +6,6 @@
 
 import gc
 import random
-import time
 import tracemalloc
 from collections.abc import Callable, Iterator
 
@@ -21,8 +20,9 @@
     prefixes,
     retries,
 )
+from bilberryridge.standins import timing
+from bilberryridge.standins.ingress_play import decision_time
 
-N_REPEATS = 5
 SERVICE = documents.Service("m", documents.ServiceKind.MODEL, ("r",))
 WEIGHTS = documents.Weights()
 
@@ -45,17 +45,6 @@
     time_us: float
 
 
-def timed(call: Callable[[int], object], n_calls: int) -> float:
-    """Microseconds of one call, the least of several runs."""
-    best_s = float("inf")
-    for repeat in range(N_REPEATS):
-        began_s = time.process_time()
-        for index in range(n_calls):
-            call(repeat * n_calls + index)
-        best_s = min(best_s, time.process_time() - began_s)
-    return best_s / n_calls * 1e6
-
-
 def allocated(make: Callable[..., object], *arguments: object) -> int:
     """Bytes that what `make` returns keeps allocated."""
     gc.collect()
@@ -146,7 +135,7 @@
             random_state,
         )
 
-    return timed(choose, 600)
+    return timing.timed(choose, 600)
 
 
 def request_us(n_servers: int) -> float:
@@ -159,13 +148,13 @@
         book.on_began(1.1, str(index), 0.1)
         book.on_ended(1.2, str(index), True)
 
-    return timed(note, 2000)
+    return timing.timed(note, 2000)
 
 
 def report_us(n_servers: int) -> float:
     """Taking a load report."""
     book = make_loads(make_servers(n_servers), 10)
-    return timed(
+    return timing.timed(
         lambda index: book.on_report(1.0 + index, f"s{index % n_servers}", 9, 0, 0.2),
         2000,
     )
@@ -175,7 +164,7 @@
     """Learning where a prompt was sent."""
     known = prefixes.PrefixBook(50_000)
     digests = [make_request(number, n_blocks).prefix_digests for number in range(4000)]
-    return timed(
+    return timing.timed(
         lambda index: known.learn(f"s{index % 30}", digests[index % 4000]), 1000
     )
 
@@ -186,7 +175,7 @@
     digests = [make_request(number, n_blocks).prefix_digests for number in range(4000)]
     for number in range(1000):
         known.learn(f"s{number % 30}", digests[number])
-    return timed(lambda index: known.best(digests[index % 4000], 6), 1000)
+    return timing.timed(lambda index: known.best(digests[index % 4000], 6), 1000)
 
 
 def pass_through_us(n_waiting: int) -> float:
@@ -197,7 +186,7 @@
         queue.offer(1.0, make_waiting(-1 - index))
         queue.take(1.0, "m")
 
-    return timed(offer_and_take, 1000)
+    return timing.timed(offer_and_take, 1000)
 
 
 def no_room_us(n_waiting: int) -> float:
@@ -209,7 +198,7 @@
         if item is not None:
             queue.put_back(item)
 
-    return timed(take_and_put_back, 1000)
+    return timing.timed(take_and_put_back, 1000)
 
 
 def entry_us(n_vms: int) -> float:
@@ -224,7 +213,7 @@
         for index in range(n_vms)
     ]
     random_state = random.Random(1)
-    return timed(
+    return timing.timed(
         lambda index: entry_ranking.rank(
             f"o{index}", vms, "d1", "r1", (), 5, random_state
         ),
@@ -249,6 +238,11 @@
     for n in (0, 100, 1900):
         yield Row("offer and take, by waiting", n, pass_through_us(n))
         yield Row("take and put back, by waiting", n, no_room_us(n))
+    for n, n_daemons in ((15, 4), (45, 23), (200, 127)):
+        time_us = decision_time.placement_us(n, n_daemons, is_full=False)
+        yield Row("prompt placed with room, by servers", n, time_us)
+        time_us = decision_time.placement_us(n, n_daemons, is_full=True)
+        yield Row("prompt refused, by servers", n, time_us)
     for n in (8, 67, 380):
         yield Row("entry answer, by entry VMs", n, entry_us(n))
 
