--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -31,11 +31,9 @@
 MAX_COMPARED = 48
 """Servers that are compared for a request: bounds the time of a decision, and of that
 many the best is nearly as good as of all."""
-REGION_BIAS_S = 0.0
-"""Another region must be better by this: traffic between regions is dear and thin."""
 STAY_PART = 0.15
-"""Part of the time left to the latency goal within which a request stays in its region;
-the rest is for what the expectation misses."""
+"""Part of the time left to the latency goal within which a request stays in its region:
+traffic between regions is dear and thin, but prompts that are read slow all streams."""
 URGENT_IN_TIME_PART, IN_TIME_PART = 0.95, 0.8
 """Part of the time left to the latency goal that an expectation may use. Nine of ten
 urgent requests come sooner than expected at high load; others are overtaken by urgent
@@ -49,7 +47,7 @@
 """Part of the caller's patience that an expectation may use."""
 REST_PART = 0.9
 """Part of a stream's expected rest that must fit into the caller's patience: callers'
-hints of its length are often far off."""
+hints of its length are often far off, and what is taken on in vain slows the others."""
 MIN_RETRY_S, MAX_RETRY_S = 0.15, 4.0
 """Bounds of what callers are told to wait."""
 EMPTY_RETRY_S = 0.5
@@ -302,7 +300,7 @@
     here_s = here.expected.first_s + FAULT_WEIGHT * goal_s * here.server.fault(now_s)
     if here_s <= STAY_PART * _goal_left_s(item, now_s):
         return False
-    return there.expected.first_s + REGION_BIAS_S < here_s
+    return there.expected.first_s < here_s
 
 
 def _goal_left_s(item: state.OpenRequest, now_s: float) -> float:
