Requests that may repeat: a slow server is not given up while a retry can still meet the goal

Where the good server was chosen first and took longer, the only other attempt went to the faulty one: 502 for a request that would have been answered within its goal. Change: the time to the first byte is also as long as a retry at the estimated speed would still meet the goal. Prompts at engines keep their time-out: their estimate and margin fill the goal already.

--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -329,20 +329,15 @@
         local.expected.first_s
         + FAILURE_WEIGHT * goal_s * local.server.failure_rate(now_s)
     )
-    if local_s <= STAY_FRACTION * _remaining_goal_s(item, now_s):
+    if local_s <= STAY_FRACTION * item.remaining_goal_s(now_s):
         return False
     return remote.expected.first_s < local_s
 
 
-def _remaining_goal_s(item: state.OpenRequest, now_s: float) -> float:
-    waited_s = item.waited_s + now_s - item.arrived_s
-    return item.route.latency_goal_s - waited_s
-
-
 def _max_first_s(item: state.OpenRequest, now_s: float) -> float:
     """Return the longest estimate of the first byte that meets the latency goal."""
     goal_fraction = URGENT_GOAL_FRACTION if item.is_urgent else GOAL_FRACTION
-    return goal_fraction * _remaining_goal_s(item, now_s)
+    return goal_fraction * item.remaining_goal_s(now_s)
 
 
 def _is_fast_enough(
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -4,8 +4,8 @@
 from bilberryridge.decisions.ingress import effects, open_work, placement, state
 
 FIRST_BYTE_FACTOR = 3.0
-"""Multiple of the estimated time to the first byte after which an attempt is given up
-and retried."""
+"""Multiple of the estimated time to the first byte before which an attempt is never
+given up."""
 FIRST_BYTE_MARGIN_S = {
     ingress.RequestKind.SAFE: 0.1,
     ingress.RequestKind.STREAM: 0.8,
@@ -60,7 +60,7 @@
             item.route.priority,
             item.route.kind is ingress.RequestKind.STREAM,
             not item.route.is_repeatable,
-            _first_byte_timeout_s(item, expected.first_s),
+            _first_byte_timeout_s(item, expected.first_s, now_s),
             _stall_timeout_s(item),
             log_fields,
             choice.prefix_source.record.address if choice.prefix_source else "",
@@ -94,21 +94,29 @@
             item.deadline_s - now_s,
             item.route.kind is ingress.RequestKind.STREAM,
             st.table.version,
-            _first_byte_timeout_s(item, choice.expected.first_s),
+            _first_byte_timeout_s(item, choice.expected.first_s, now_s),
             _stall_timeout_s(item),
             log_fields,
         )
     )
 
 
-def _first_byte_timeout_s(item: state.OpenRequest, expected_s: float) -> float | None:
-    """Return how long to wait for the first byte; None if no retry is possible."""
+def _first_byte_timeout_s(
+    item: state.OpenRequest, expected_s: float, now_s: float
+) -> float | None:
+    """Return how long to wait for the first byte; None if no retry is possible.
+
+    A slow server may still answer, and the other servers may be faulty. So the attempt
+    is not given up while a retry as fast as estimated would still meet the goal.
+    """
     if (
         not item.route.is_repeatable
         or item.n_server_attempts >= item.route.max_attempts
     ):
         return None
-    return FIRST_BYTE_FACTOR * expected_s + FIRST_BYTE_MARGIN_S[item.route.kind]
+    margin_s = FIRST_BYTE_MARGIN_S[item.route.kind]
+    latest_retry_s = item.remaining_goal_s(now_s) - expected_s - margin_s
+    return max(FIRST_BYTE_FACTOR * expected_s + margin_s, latest_retry_s)
 
 
 def _stall_timeout_s(item: state.OpenRequest) -> float | None:
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -117,6 +117,11 @@
         """Whether the route has the highest priority."""
         return self.route.priority == 0
 
+    def remaining_goal_s(self, now_s: float) -> float:
+        """Return the time until the latency goal, negative if that has passed."""
+        waited_s = self.waited_s + now_s - self.arrived_s
+        return self.route.latency_goal_s - waited_s
+
 
 PlacementRule = Callable[["State", OpenRequest, float], Any]
 """Decides where a request is sent; see `placement.choose`."""
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_request_handlers.py
@@ -76,6 +76,17 @@
     assert refused.refusal.outcome is outcomes.Outcome.NOT_RUN
 
 
+def test_silent_server_is_given_up_as_late_as_a_retry_can_meet_the_goal():
+    daemon = make_daemon()
+    sent = daemon.arrive("1", "safe")
+    expected_s = sent.log_fields["expected_s"]
+    goal_s = daemon.node.state.open_requests["1"].route.latency_goal_s
+    assert goal_s / 2 < sent.first_byte_timeout_s <= goal_s - expected_s
+    daemon.now_s += sent.first_byte_timeout_s
+    [retried] = daemon.end(sent, "lost")
+    assert retried.first_byte_timeout_s is None
+
+
 def test_deadline_is_answered_while_the_server_is_silent():
     daemon = make_daemon()
     daemon.arrive("1", "unsafe", caller_timeout_s=1.0)
