Store: a store that comes back from a copy is followed by its era

Cause: the mirror ordered changes by revision alone. After a return from an older copy, 410 was answered by reading all, which the mirror ignored as older: 40 calls in a row without a pause, and neither configuration nor servers written since were taken. Any answer of a later era restarts the following: all keys are read after 0 to 0.5 s of random delay, what was lost is kept or withheld by the writers' own counts (version of the configuration; start and sequence of a server), evacuations and servers that are missing are kept until the settling time, the entry of this daemon is registered with a new lease. Linked daemons tell each other what the copy lost, also one that starts into it. Without the header a lower revision shows the return. Lost history alone also waits 0 to 0.5 s now.

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -18,7 +18,7 @@
 from bilberryridge.daemon import ingress_platform, line_log, metrics
 from bilberryridge.decisions.ingress import events, load_messages, node
 from bilberryridge.peers import link_codec, links
-from bilberryridge.store import follower, mirror, registration
+from bilberryridge.store import follower, mirror, registration, store_era
 from bilberryridge.transport import settings
 from bilberryridge.transport.ingress import (
     connection_pool,
@@ -94,27 +94,31 @@
             self._send_peer_message,
             counters,
         )
-        self._store_copy = mirror.Mirror(self._on_changed)
+        self._store_copy = mirror.Mirror(self._on_changed, platform.decoder.generation)
+        eras = store_era.EraMonitor()
         self._follower = follower.Follower(
-            platform.reader(loop, self._pool),
+            platform.reader(loop, self._pool, eras),
             self._store_copy,
             loop,
             random_state,
+            eras,
             self._on_settled,
+            self._on_store_restored,
         )
         self._entry_key = platform.decoder.entry_prefix + local_entry.name
         self._registration = registration.Registration(
-            platform.writer(loop, self._pool),
+            platform.writer(loop, self._pool, eras),
             loop,
             self._entry_key,
             platform.decoder.encode_entry(local_entry),
+            eras,
         )
         self._links = links.Links(
             loop,
             local_entry,
             cfg.seeds,
             lambda: self._node.state.members.link_targets(loop.now_s()),
-            lambda entry: self._gateway.post(events.LinkUp(entry)),
+            self._on_link_up,
             lambda vm, inc: self._gateway.post(events.LinkDown(vm, inc)),
             self._on_message,
         )
@@ -204,12 +208,13 @@
         table = decoder.table(store_copy)
         if table is not None:
             self._gateway.post(events.TableRead(table))
-        self._gateway.post(events.EvacuationsRead(decoder.evacuated(store_copy)))
         self._on_settled()
 
     def _on_settled(self) -> None:
         decoder, store_copy = self._platform.decoder, self._store_copy
         is_settled = self._is_settled()
+        evacuated = decoder.evacuated(store_copy)
+        self._gateway.post(events.EvacuationsRead(evacuated, is_settled))
         servers = decoder.servers(store_copy)
         self._gateway.post(events.ServersRead(servers, is_settled))
         entries = decoder.entries(store_copy)
@@ -222,6 +227,21 @@
             is_present or self._follower.health.is_unavailable
         )
 
+    def _on_store_restored(self) -> None:
+        """Tell the linked daemons what the restored store has lost."""
+        for entry in self._links.linked_entries():
+            self._send_overrides(entry.name)
+
+    def _on_link_up(self, entry: ingress.EntryVm) -> None:
+        self._gateway.post(events.LinkUp(entry))
+        self._send_overrides(entry.name)
+
+    def _send_overrides(self, vm: str) -> None:
+        overrides = self._store_copy.overrides()
+        if overrides.updates:
+            # What is missing besides is not known to be settled.
+            self._links.send(vm, link_codec.StoreChanges(overrides, is_settled=False))
+
     def _is_settled(self) -> bool:
         peer_report_age_s = self._loop.now_s() - self._peer_settled_at_s
         return self._follower.is_settled or peer_report_age_s < PEER_SETTLED_VALID_S
@@ -234,21 +254,34 @@
         if linked_entries:
             entry = self._node.state.random_state.choice(linked_entries)
             self._links.send(
-                entry.name, link_codec.ChangesRequest(self._store_copy.revision)
+                entry.name,
+                link_codec.ChangesRequest(
+                    self._store_copy.revision, self._store_copy.era
+                ),
             )
 
     def _on_message(self, vm: str, message: link_codec.Message) -> None:
         if isinstance(message, link_codec.ChangesRequest):
-            changes = self._store_copy.changes_since(message.revision)
-            reply = link_codec.StoreChanges(changes, self._follower.is_settled)
+            changes = self._store_copy.changes_since(message.revision, message.era or 0)
+            is_settled = self._follower.is_settled
+            has_era = message.era is not None
+            reply = link_codec.StoreChanges(changes, is_settled, has_era)
             self._links.send(vm, reply)
         elif isinstance(message, link_codec.StoreChanges):
-            if message.is_settled:
-                self._peer_settled_at_s = self._loop.now_s()
-            self._store_copy.apply(message.changes)
+            self._on_peer_changes(message)
         elif isinstance(message, load_messages.DaemonLoads | load_messages.RegionLoads):
             self._gateway.post(events.PeerSaid(vm, message))
 
+    def _on_peer_changes(self, message: link_codec.StoreChanges) -> None:
+        changes = message.changes
+        if not message.has_era:
+            changes = attrs.evolve(changes, era=self._store_copy.era)
+        if message.is_settled and changes.era >= self._store_copy.era:
+            self._peer_settled_at_s = self._loop.now_s()
+        # Of an era that this daemon does not know yet, it asks for all keys itself.
+        if changes.is_full or changes.era <= self._store_copy.era:
+            self._store_copy.apply(changes)
+
     def _send_peer_message(
         self, vm: str, message: load_messages.DaemonLoads | load_messages.RegionLoads
     ) -> None:
--- a/packages/daemon/bilberryridge/daemon/ingress_platform.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_platform.py
@@ -7,7 +7,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import state
-from bilberryridge.store import follower, mirror, registration
+from bilberryridge.store import follower, mirror, registration, store_era
 from bilberryridge.transport.ingress import (
     connection_pool,
     dialect,
@@ -67,6 +67,9 @@
     def evacuated(self, store_copy: mirror.Mirror) -> frozenset[str]:
         """Return the evacuated failure domains, which receive no requests."""
 
+    def generation(self, key: str, value: bytes) -> mirror.Generation | None:
+        """Return the order of a value by its writer's count; None if it has none."""
+
     def encode_entry(self, entry: ingress.EntryVm) -> bytes:
         """Encode the registration of this daemon."""
 
@@ -83,12 +86,18 @@
         """Decoder of the entries in the store."""
 
     def reader(
-        self, loop: event_loop.EventLoop, pool: connection_pool.Pool
+        self,
+        loop: event_loop.EventLoop,
+        pool: connection_pool.Pool,
+        eras: store_era.EraMonitor,
     ) -> follower.StoreReader:
         """Create a client for reading the store."""
 
     def writer(
-        self, loop: event_loop.EventLoop, pool: connection_pool.Pool
+        self,
+        loop: event_loop.EventLoop,
+        pool: connection_pool.Pool,
+        eras: store_era.EraMonitor,
     ) -> registration.LeaseWriter:
         """Create a client for the leases of the store."""
 
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -40,9 +40,17 @@
 
 @attrs.frozen
 class EvacuationsRead:
-    """The failure domains whose backend servers must get no requests were read."""
+    """The failure domains whose backend servers must get no requests were read.
+
+    Parameters
+    ----------
+    domains : frozenset of str
+    is_settled : bool
+        False while a missing evacuation may only be lost to the store for a moment.
+    """
 
     domains: frozenset[str]
+    is_settled: bool = True
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -55,10 +55,13 @@
 def _on_evacuations(
     st: state.State, now_s: float, event: events.EvacuationsRead
 ) -> None:
-    if event.domains == st.servers.evacuated:
+    domains = event.domains
+    if not event.is_settled:
+        domains |= st.servers.evacuated
+    if domains == st.servers.evacuated:
         return
-    st.servers.set_evacuated(event.domains, st.table, now_s)
-    st.emit(effects.LogStateChange("evacuated", " ".join(sorted(event.domains))))
+    st.servers.set_evacuated(domains, st.table, now_s)
+    st.emit(effects.LogStateChange("evacuated", " ".join(sorted(domains))))
 
 
 def _on_stop(st: state.State, now_s: float, event: events.StopAsked) -> None:
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -28,9 +28,17 @@
 
 @attrs.frozen
 class ChangesRequest:
-    """Requests the store's changes after a revision from a daemon that reaches it."""
+    """Requests the store's changes after a revision from a daemon that reaches it.
+
+    Parameters
+    ----------
+    revision : int
+    era : int or None
+        None from a daemon of an older build, which decodes no era in the answer.
+    """
 
     revision: int
+    era: int | None = 0
 
 
 @attrs.frozen
@@ -43,10 +51,13 @@
     is_settled : bool
         Whether a missing key was removed, rather than lost in an outage, as known to
         the sender.
+    has_era : bool
+        Whether the era is encoded; a daemon of an older build doesn't decode it.
     """
 
     changes: mirror.Changes
     is_settled: bool
+    has_era: bool = True
 
 
 Message = (
@@ -64,7 +75,7 @@
     Examples
     --------
     >>> decode(encode(ChangesRequest(3)))
-    ChangesRequest(revision=3)
+    ChangesRequest(revision=3, era=0)
     """
     kind, pack = _PACK[type(message)]
     return cbor2.dumps([kind, *pack(message)])
@@ -159,11 +170,13 @@
         for update in changes.updates
         if isinstance(update, mirror.Deletion)
     ]
-    return [changes.revision, changes.is_full, items, deletions, message.is_settled]
+    era = [changes.era] if message.has_era else []
+    is_settled = message.is_settled
+    return [changes.revision, changes.is_full, items, deletions, is_settled, *era]
 
 
 def _unpack_changes(fields: list[Any]) -> StoreChanges:
-    revision, is_full, items, deletions, is_settled = fields
+    revision, is_full, items, deletions, is_settled, *era = fields
     updates: list[mirror.Item | mirror.Deletion] = [
         mirror.Item(str(key), bytes(value), int(at_revision))
         for key, value, at_revision in items
@@ -171,8 +184,15 @@
     updates += [
         mirror.Deletion(str(key), int(at_revision)) for key, at_revision in deletions
     ]
-    changes = mirror.Changes(int(revision), tuple(updates), bool(is_full))
-    return StoreChanges(changes, bool(is_settled))
+    changes = mirror.Changes(
+        int(revision), tuple(updates), bool(is_full), int(era[0]) if era else 0
+    )
+    return StoreChanges(changes, bool(is_settled), bool(era))
+
+
+def _unpack_changes_request(fields: list[Any]) -> ChangesRequest:
+    revision, *era = fields
+    return ChangesRequest(int(revision), int(era[0]) if era else None)
 
 
 def _unpack_hello(fields: list[Any]) -> Hello:
@@ -181,14 +201,14 @@
 
 _PACK: dict[type, tuple[str, Callable[[Any], Any]]] = {
     Hello: ("hello", lambda message: attrs.astuple(message.entry)),
-    ChangesRequest: ("want", lambda message: [message.revision]),
+    ChangesRequest: ("want", lambda message: [message.revision, message.era]),
     load_messages.DaemonLoads: ("domain", _pack_daemon_loads),
     load_messages.RegionLoads: ("region", _pack_region_loads),
     StoreChanges: ("changes", _pack_changes),
 }
 _UNPACK: dict[str, Callable[[list[Any]], Message]] = {
     "hello": _unpack_hello,
-    "want": lambda fields: ChangesRequest(int(fields[0])),
+    "want": _unpack_changes_request,
     "domain": _unpack_daemon_loads,
     "region": _unpack_region_loads,
     "changes": _unpack_changes,
--- a/packages/standins/bilberryridge/standins/kv_model.py
+++ b/packages/standins/bilberryridge/standins/kv_model.py
@@ -50,15 +50,19 @@
         Whether all calls are refused.
     n_answers_to_lose : int
         Number of next writes that take effect but whose answer is lost.
+    era : int
+        Rises by one each time that the store comes back from a copy.
     """
 
     def __init__(self) -> None:
         self.refused: set[str] = set()
         self.is_down = False
         self.n_answers_to_lose = 0
+        self.era = 1
         self._condition = threading.Condition()
         self._entries: dict[str, Entry] = {}
         self._history: list[Entry] = []
+        self._all_writes: list[Entry] = []
         self._oldest = 0
         self._revision = 1
         self._leases: dict[int, Lease] = {}
@@ -104,7 +108,7 @@
         end_s = time.monotonic() + wait_s
         while True:
             with self._lock_after_expiry():
-                if after < self._oldest:
+                if not self._oldest <= after <= self._revision:
                     raise HistoryLostError
                 matches = [entry for entry in self._history if entry.revision > after]
                 left_s = end_s - time.monotonic()
@@ -119,6 +123,26 @@
             self._oldest = self._revision
             self._condition.notify_all()
 
+    def restore_copy(self, revision: int) -> None:
+        """Come back from a copy as of a revision; what was written since is lost.
+
+        Leases that are younger than the copy end, and revisions are issued again.
+        """
+        with self._condition:
+            copied = [e for e in self._all_writes if e.revision <= revision]
+            self._entries = {}
+            for entry in copied:
+                self._entries.pop(entry.key, None)
+                if entry.value is not None:
+                    self._entries[entry.key] = entry
+            held = {entry.lease for entry in self._entries.values()}
+            self._leases = {k: v for k, v in self._leases.items() if k in held}
+            self._history = [e for e in self._history if e.revision <= revision]
+            self._all_writes = copied
+            self._revision = revision
+            self.era += 1
+            self._condition.notify_all()
+
     def grant(self, ttl_s: float) -> int:
         """Grant a lease; return its id."""
         with self._lock_after_expiry():
@@ -175,5 +199,6 @@
         else:
             self._entries[entry.key] = entry
         self._history.append(entry)
+        self._all_writes.append(entry)
         self._condition.notify_all()
         return self._revision
--- a/packages/store/bilberryridge/store/follower.py
+++ b/packages/store/bilberryridge/store/follower.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bilberryridge.store import mirror
+from bilberryridge.store import mirror, store_era
 
 LOGGER = logging.getLogger("bilberryridge")
 
@@ -27,6 +27,13 @@
 5 ms."""
 SETTLING_TIME_S = 2.5
 """After an outage servers register again within 2 s; 0.5 s allows for network delay."""
+WITHHELD_S = 6.5
+"""Time after the store came back from an older copy until the values are taken that it
+lists and that were replaced or deleted before. An entry that its server does not write
+again ends within three intervals of 1.2 s after the settling time."""
+MAX_RESTART_DELAY_S = 0.5
+"""Upper bound of the random delay before all keys are read again after lost history or
+in a new era, which all daemons notice at the same moment."""
 
 
 @attrs.frozen
@@ -107,9 +114,12 @@
     store_mirror : Mirror
     clock : Clock
     random_state : random.Random
+    eras : EraMonitor
     on_settled : Callable
         Called after an outage, when entries whose leases expired in it have had time to
         be registered again.
+    on_new_era : Callable
+        Called when the mirror follows a store that came back from an older copy.
     """
 
     def __init__(
@@ -118,7 +128,9 @@
         store_mirror: mirror.Mirror,
         clock: Clock,
         random_state: random.Random,
+        eras: store_era.EraMonitor,
         on_settled: Callable[[], None],
+        on_new_era: Callable[[], None] = lambda: None,
     ):
         self.health = Health()
         self._reader = reader
@@ -126,12 +138,16 @@
         self._clock = clock
         self._random_state = random_state
         self._on_settled = on_settled
+        self._on_new_era = on_new_era
         self._n_failures = 0
+        self._n_restarts = 0
         self._is_complete = False
+        self._is_restored = False
+        eras.subscribe(self._on_era)
 
     def start(self) -> None:
         """Read all keys, then follow their changes."""
-        self._request_changes()
+        self._request_changes(self._n_restarts)
 
     @property
     def is_settled(self) -> bool:
@@ -142,20 +158,85 @@
             and now_s - self.health.recovered_s >= SETTLING_TIME_S
         )
 
-    def _request_changes(self) -> None:
-        if self._is_complete:
-            self._reader.watch(self._mirror.revision, WATCH_TIMEOUT_S, self._on_watched)
-        else:
-            self._reader.read_all(self._on_read)
+    def _request_changes(self, n_restarts: int) -> None:
+        """Make the next call, unless the following has been restarted meanwhile."""
+        if n_restarts != self._n_restarts:
+            return
+        if not self._is_complete:
+            revision = self._mirror.revision
+            self._reader.read_all(
+                self._unless_restarted(lambda answer: self._on_read(answer, revision))
+            )
+            return
+        on_watched = self._unless_restarted(self._on_watched)
+        self._reader.watch(self._mirror.revision, WATCH_TIMEOUT_S, on_watched)
+
+    def _unless_restarted(self, on_answer: OnChanges) -> OnChanges:
+        """Return a callback that drops an answer from before a restart."""
+        n_restarts = self._n_restarts
+
+        def on_current_answer(answer: mirror.Changes | CallFailure) -> None:
+            if n_restarts == self._n_restarts:
+                on_answer(answer)
+
+        return on_current_answer
+
+    def _schedule(self, delay_s: float) -> None:
+        n_restarts = self._n_restarts
+        self._clock.after(delay_s, lambda: self._request_changes(n_restarts))
 
-    def _on_read(self, answer: mirror.Changes | CallFailure) -> None:
+    def _restart(self) -> None:
+        """Read all keys again after a random delay; open calls are ignored."""
+        self._n_restarts += 1
+        self._is_complete = False
+        self._schedule(self._random_state.uniform(0.0, MAX_RESTART_DELAY_S))
+
+    def _on_era(self, before: int, era: int) -> None:
+        if before:
+            LOGGER.warning(
+                "the store came back from a copy",
+                extra={"era": era, "before": before, "revision": self._mirror.revision},
+            )
+            self._is_restored = True
+            self._restart()
+
+    def _on_read(
+        self, answer: mirror.Changes | CallFailure, revision_before: int
+    ) -> None:
         if isinstance(answer, CallFailure):
             self._on_failure(answer)
             return
         self._record_answer()
         self._is_complete = True
-        self._mirror.apply(answer)
-        self._request_changes()
+        # A store that tells no era is known to be restored by its revision.
+        if self._is_restored or answer.revision < revision_before:
+            self._is_restored = False
+            self._follow_restored(answer, revision_before)
+        else:
+            self._mirror.apply(answer)
+        self._request_changes(self._n_restarts)
+
+    def _follow_restored(self, changes: mirror.Changes, revision_before: int) -> None:
+        """Follow a store that came back from a copy."""
+        # Before the mirror calls back, as entries that are missing now may be restored.
+        self._settle()
+        if changes.era != self._mirror.era or changes.revision < revision_before:
+            self._mirror.enter_era(changes)
+        else:
+            # A linked daemon has told the new era before.
+            self._mirror.apply(changes)
+        log_fields = {
+            "era": changes.era,
+            "revision": changes.revision,
+            "withheld": len(self._mirror.withheld),
+        }
+        LOGGER.warning("following the restored store", extra=log_fields)
+        self._clock.after(WITHHELD_S, lambda: self._accept_withheld(changes.era))
+        self._on_new_era()
+
+    def _accept_withheld(self, era: int) -> None:
+        if self._mirror.era == era:
+            self._mirror.accept_withheld()
 
     def _on_watched(self, answer: mirror.Changes | CallFailure) -> None:
         if isinstance(answer, CallFailure):
@@ -164,34 +245,35 @@
         self._record_answer()
         self._mirror.apply(answer)
         if answer.updates:
-            self._clock.after(COALESCING_PAUSE_S, self._request_changes)
+            self._schedule(COALESCING_PAUSE_S)
         else:
-            self._request_changes()
+            self._request_changes(self._n_restarts)
 
     def _on_failure(self, failure: CallFailure) -> None:
         if failure.is_history_lost:
             LOGGER.info("the store's history is lost", extra={"detail": failure.detail})
-            self._is_complete = False
-            self._request_changes()
+            self._restart()
             return
         self._n_failures += 1
         if not self.health.is_unavailable:
             self.health.is_unavailable = True
             LOGGER.info("the store is away", extra={"detail": failure.detail})
-        backoff_s = self._random_state.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S)
-        self._clock.after(backoff_s, self._request_changes)
+        self._schedule(self._random_state.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S))
 
     def _record_answer(self) -> None:
         health = self.health
-        now_s = self._clock.now_s()
-        health.last_answer_s = now_s
+        health.last_answer_s = self._clock.now_s()
         if not health.is_unavailable:
             return
         health.is_unavailable = False
         if health.was_available:
             # At the first contact no entry was known that can have expired.
-            health.recovered_s = now_s
-            self._clock.after(SETTLING_TIME_S + 0.01, self._on_settled)
+            self._settle()
         health.was_available = True
         LOGGER.info("the store answers", extra={"failures": self._n_failures})
         self._n_failures = 0
+
+    def _settle(self) -> None:
+        """Count a missing key as removed only after the settling time."""
+        self.health.recovered_s = self._clock.now_s()
+        self._clock.after(SETTLING_TIME_S + 0.01, self._on_settled)
--- a/packages/store/bilberryridge/store/registration.py
+++ b/packages/store/bilberryridge/store/registration.py
@@ -2,9 +2,9 @@
 
 import logging
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
-from bilberryridge.store import follower
+from bilberryridge.store import follower, store_era
 
 LOGGER = logging.getLogger("bilberryridge")
 
@@ -47,10 +47,16 @@
         Key of the entry.
     value : bytes
         Encoded entry.
+    eras : EraMonitor
     """
 
     def __init__(
-        self, writer: LeaseWriter, clock: follower.Clock, key: str, value: bytes
+        self,
+        writer: LeaseWriter,
+        clock: follower.Clock,
+        key: str,
+        value: bytes,
+        eras: store_era.EraMonitor,
     ):
         self._writer = writer
         self._clock = clock
@@ -60,11 +66,14 @@
         self._is_registered = False
         self._is_rewriting = False
         self._is_revoked = False
+        self._n_starts = 0
+        eras.subscribe(self._on_era)
 
     def start(self) -> None:
         """Create a lease and write the entry."""
+        self._n_starts += 1
         if not self._is_revoked:
-            self._writer.grant(LEASE_TTL_S, self._on_granted)
+            self._writer.grant(LEASE_TTL_S, self._unless_restarted(self._on_granted))
 
     def revoke(self) -> None:
         """Remove the entry at once, so that no new callers are sent to this daemon."""
@@ -80,13 +89,44 @@
             self._is_rewriting = True
             self._writer.put(self._key, self._value, self._lease, self._on_rewritten)
 
+    def _on_era(self, before: int, era: int) -> None:
+        if before and self._n_starts:
+            # The restored store has no lease that is younger than its copy.
+            LOGGER.info("registering again", extra={"era": era, "lease": self._lease})
+            self.start()
+
+    def _unless_restarted(self, on_answer: Callable[[Any], None]) -> Any:
+        """Return a callback that drops an answer from before the last start."""
+        n_starts = self._n_starts
+
+        def on_current_answer(answer: Any) -> None:
+            if n_starts == self._n_starts:
+                on_answer(answer)
+
+        return on_current_answer
+
+    def _schedule_renewal(self, delay_s: float) -> None:
+        n_starts = self._n_starts
+
+        def renew() -> None:
+            if n_starts == self._n_starts and not self._is_revoked:
+                on_renewed = self._unless_restarted(self._on_renewed)
+                self._writer.renew(self._lease, on_renewed)
+
+        self._clock.after(delay_s, renew)
+
+    def _schedule_start(self) -> None:
+        restart = self._unless_restarted(lambda _: self.start())
+        self._clock.after(RETRY_DELAY_S, lambda: restart(None))
+
     def _on_granted(self, answer: int | follower.CallFailure) -> None:
         if isinstance(answer, follower.CallFailure):
-            self._clock.after(RETRY_DELAY_S, self.start)
+            self._schedule_start()
             return
         self._lease = answer
         self._is_registered = False
-        self._writer.put(self._key, self._value, self._lease, self._on_put)
+        on_put = self._unless_restarted(self._on_put)
+        self._writer.put(self._key, self._value, self._lease, on_put)
 
     def _on_put(self, answer: bool | follower.CallFailure) -> None:
         if self._is_revoked:
@@ -94,26 +134,21 @@
         elif answer is True:
             self._is_registered = True
             LOGGER.info("registered", extra={"key": self._key, "lease": self._lease})
-            self._clock.after(RENEWAL_INTERVAL_S, self._renew)
+            self._schedule_renewal(RENEWAL_INTERVAL_S)
         else:
             # The call may still take effect; writing the same value twice is harmless.
-            self._clock.after(RETRY_DELAY_S, self.start)
+            self._schedule_start()
 
     def _on_rewritten(self, answer: bool | follower.CallFailure) -> None:
         # If the lease has ended, the next renewal fails and registers again.
         self._is_rewriting = False
 
-    def _renew(self) -> None:
-        if not self._is_revoked:
-            self._writer.renew(self._lease, self._on_renewed)
-
     def _on_renewed(self, answer: bool | follower.CallFailure) -> None:
         if answer is False:
             LOGGER.info("the lease has ended", extra={"lease": self._lease})
             self.start()
             return
-        delay_s = RENEWAL_INTERVAL_S if answer is True else RETRY_DELAY_S
-        self._clock.after(delay_s, self._renew)
+        self._schedule_renewal(RENEWAL_INTERVAL_S if answer is True else RETRY_DELAY_S)
 
     def _on_revoked(self, answer: bool | follower.CallFailure) -> None:
         if isinstance(answer, follower.CallFailure):
--- a/packages/store/bilberryridge/store/tests/test_mirror.py
+++ b/packages/store/bilberryridge/store/tests/test_mirror.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from bilberryridge.store import mirror
 
 Item, Deletion, Changes = mirror.Item, mirror.Deletion, mirror.Changes
@@ -62,3 +64,107 @@
         copy.apply(Changes(2 * n + 2, (Deletion(str(n), 2 * n + 2),)))
     assert copy.changes_since(3).is_full
     assert not copy.changes_since(8).is_full
+
+
+def generation_of(key, value):
+    """Decode values such as ``b"3.17"`` (start 3, sequence 17)."""
+    if b"." not in value:
+        return None
+    return mirror.Generation(*(int(number) for number in value.split(b".")))
+
+
+def make_restored(held, listed, deletions=()):
+    """Return a mirror that held items in era 1 and entered era 2 with others."""
+    copy = mirror.Mirror(lambda keys: None, generation_of)
+    items = [Item(key, value, revision) for key, value, revision in held]
+    copy.apply(Changes(100, tuple(items), is_full=True, era=1))
+    for key, revision in deletions:
+        copy.apply(Changes(revision, (Deletion(key, revision),), era=1))
+    listing = tuple(Item(key, value, revision) for key, value, revision in listed)
+    copy.apply(Changes(80, listing, is_full=True, era=2))
+    return copy
+
+
+def test_restored_store_is_followed_from_its_lower_revision():
+    copy = make_restored([("a", b"v5", 90)], [("a", b"v4", 70)])
+    assert (copy.era, copy.revision) == (2, 80)
+    assert copy.items["a"].value == b"v4"
+    copy.apply(Changes(82, (Item("a", b"v6", 82),), era=2))
+    assert copy.items["a"].value == b"v6"
+
+
+@pytest.mark.parametrize(
+    ("held", "listed", "kept"),
+    [
+        (b"0.6", b"0.5", b"0.6"),
+        (b"0.6", b"0.7", b"0.7"),
+        (b"3.17", b"3.12", b"3.17"),
+        (b"3.17", b"3.18", b"3.18"),
+        (b"3.17", b"4.1", b"4.1"),
+        (b"3.17", b"unreadable", b"unreadable"),
+    ],
+)
+def test_value_that_its_writer_has_replaced_is_not_taken_back(held, listed, kept):
+    copy = make_restored([("a", held, 90)], [("a", listed, 70)])
+    assert copy.items["a"].value == kept
+
+
+def test_deleted_key_stays_deleted_until_it_is_written_again():
+    copy = make_restored([("a", b"3.17", 90)], [("a", b"3.12", 70)], [("a", 99)])
+    assert not copy.items
+    copy.apply(Changes(84, (Item("a", b"3.20", 84),), era=2))
+    assert copy.items["a"].value == b"3.20"
+    assert not copy.withheld
+
+
+def test_deleted_key_returns_at_once_when_its_writer_has_started_again():
+    copy = make_restored([("a", b"3.17", 90)], [("a", b"4.1", 79)], [("a", 99)])
+    assert copy.items["a"].value == b"4.1"
+
+
+def test_withheld_values_are_accepted_later_unless_they_never_go_back():
+    copy = make_restored(
+        [("config", b"0.6", 90), ("a", b"3.17", 91), ("b", b"5.2", 92)],
+        [("config", b"0.5", 60), ("a", b"3.12", 70), ("b", b"5.1", 71)],
+        [("b", 99)],
+    )
+    copy.apply(Changes(81, (Deletion("b", 81),), era=2))
+    copy.accept_withheld()
+    values = {key: item.value for key, item in copy.items.items()}
+    assert values == {"config": b"0.6", "a": b"3.12"}
+
+
+def test_changes_of_an_earlier_era_are_ignored():
+    copy = make_restored([], [("a", b"1", 70)])
+    copy.apply(Changes(120, (Item("a", b"2", 120),), era=1))
+    copy.apply(Changes(120, (), is_full=True, era=1))
+    assert copy.items["a"].value == b"1"
+
+
+def test_era_is_entered_only_with_all_keys():
+    copy = make_restored([], [("a", b"1", 70)])
+    with pytest.raises(ValueError, match="all keys"):
+        copy.apply(Changes(120, (Item("a", b"2", 120),), era=3))
+
+
+def test_daemon_that_starts_into_the_copy_learns_what_is_withheld():
+    listed = [("config", b"0.5", 60), ("a", b"3.12", 70), ("b", b"5.1", 71)]
+    old = make_restored([("config", b"0.6", 90), ("a", b"3.17", 91)], listed)
+    old.apply(Changes(82, (Item("b", b"5.9", 82),), era=2))
+    new = make_restored([], listed)
+    new.apply(old.overrides())
+    assert new.items["config"].value == b"0.6"
+    assert new.items["a"].value == b"3.17"
+    assert new.items["b"].value == b"5.1"
+    new.apply(old.changes_since(new.revision, new.era))
+    new.apply(old.changes_since(0, 2))
+    assert {k: i.value for k, i in new.items.items()} == {
+        k: i.value for k, i in old.items.items()
+    }
+
+
+def test_peer_of_an_earlier_era_gets_all_keys():
+    copy = make_restored([("a", b"3.17", 90)], [("a", b"3.12", 70)])
+    assert copy.changes_since(90, era=1).is_full
+    assert copy.changes_since(80, era=1).is_full
+    assert not copy.changes_since(80, era=2).is_full
