Transport: bounds on all that a server or another daemon may send for a request

Cause: an event was searched for from the start of all bytes held, for each piece (50 s for 25 MiB, all kept); each byte renewed the stall timer; informational answers, answers to other requests, blank events, comments and tiny chunks were handled without a limit, all parts of one reading in one turn of the loop. Change: the splitter searches new bytes only and refuses an event over 256 KiB. A meter for each attempt bounds held bytes (8 MiB each, 16 MiB of all beyond 64 KiB each), bytes and events of a stream by the tokens asked for, and small chunks. Upstream bounds informational and foreign answers and hands the loop back after 100 parts. Only a complete event renews a stream's stall timer. Beyond a bound the connection is closed, the server's failure counted, 'attempt ended' tells the detail, ingress_answers_over_bound counts; the request goes on as after any spoiled answer. Nine shapes at upstream, splitter by hypothesis (any pieces give the events of one piece), 64 KiB pieces refused at 256 KiB. Not done: our own interface (transport.attempt, prompts), the benchmark of 50 ms, kinds of the soak.

--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -31,6 +31,8 @@
     fetch_from : str
         Address of a server that has leading parts of the prompt cached, from which the
         chosen server is to fetch them; empty for none.
+    n_answer_tokens : int
+        Most tokens that the request asks for; 0 if not known.
     log_fields : mapping
         Inputs of the decision, for the log.
     """
@@ -46,6 +48,7 @@
     stall_timeout_s: float | None = None
     log_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
     fetch_from: str = ""
+    n_answer_tokens: int = 0
 
 
 @attrs.frozen
@@ -76,6 +79,7 @@
     first_byte_timeout_s: float | None = None
     stall_timeout_s: float | None = None
     log_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
+    n_answer_tokens: int = 0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -136,6 +136,10 @@
         received.
     n_events : int
         Events of a stream that this attempt passed on.
+    detail : str
+        Why there was no complete answer, for the log.
+    is_over_bound : bool
+        Whether more was sent than any answer to the request can have.
     """
 
     request_id: str
@@ -149,6 +153,8 @@
     first_s: float = 0.0
     took_s: float = 0.0
     n_events: int = 0
+    detail: str = ""
+    is_over_bound: bool = False
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -64,6 +64,7 @@
             _stall_timeout_s(item),
             log_fields,
             choice.prefix_source.record.address if choice.prefix_source else "",
+            prompt.n_answer_tokens if prompt else 0,
         )
     )
 
@@ -78,7 +79,8 @@
     entry = choice.entry
     attempt = _begin_attempt(st, item, "", entry.name, entry.region, now_s)
     item.tried_peers.add(entry.name)
-    n_tokens = item.req.prompt.n_tokens if item.req.prompt else 0
+    prompt = item.req.prompt
+    n_tokens = prompt.n_tokens if prompt else 0
     choice.view.record_sent(item.service.name, n_tokens)
     assert st.table is not None
     log_fields = {
@@ -97,6 +99,7 @@
             _first_byte_timeout_s(item, choice.expected.first_s, now_s),
             _stall_timeout_s(item),
             log_fields,
+            prompt.n_answer_tokens if prompt else 0,
         )
     )
 
--- a/packages/transport/bilberryridge/transport/errors.py
+++ b/packages/transport/bilberryridge/transport/errors.py
@@ -35,5 +35,9 @@
     """The caller's socket can no longer be written to."""
 
 
+class AnswerBoundError(TransportError):
+    """A server sends more than any answer to its request can have."""
+
+
 class EnvelopeError(TransportError):
     """An envelope that is missing, malformed or has a wrong MAC."""
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -3,17 +3,22 @@
 from typing import Protocol
 
 from bilberryridge.decisions.ingress import events
-from bilberryridge.transport import headers, timers
-from bilberryridge.transport.ingress import dialect, event_loop, event_stream, upstream
+from bilberryridge.transport import errors, headers, limits, timers
+from bilberryridge.transport.ingress import (
+    answer_bounds,
+    dialect,
+    event_loop,
+    event_stream,
+    upstream,
+)
 
-MAX_HELD_BYTES = 8 << 20
-"""Size limit of an answer that is held until it is complete."""
 FIRST_ERROR_STATUS = 300
 
 _RESULT_BY_FAILURE = {
     upstream.Failure.NOT_SENT: events.AttemptResult.NOT_SENT,
     upstream.Failure.LOST: events.AttemptResult.LOST,
     upstream.Failure.SPOILED: events.AttemptResult.SPOILED,
+    upstream.Failure.OVER_BOUND: events.AttemptResult.SPOILED,
 }
 _RESULT_BY_KIND = {
     dialect.AnswerKind.ANSWER: events.AttemptResult.ANSWERED,
@@ -52,7 +57,13 @@
         Decodes the head of an answer.
     is_stream : bool
     first_byte_timeout_s, stall_timeout_s : float or None
-        Longest time without data before and after the first bytes; None for no limit.
+        Longest time until the first bytes, of a stream until its first complete event,
+        and longest time without data, of a stream without a complete event, after them;
+        None for no limit.
+    n_answer_tokens : int
+        Most tokens that the request asks for; 0 if not known.
+    held_limit : ByteLimit
+        Of the bytes of all held answers.
     """
 
     def __init__(
@@ -65,6 +76,8 @@
         is_stream: bool,
         first_byte_timeout_s: float | None,
         stall_timeout_s: float | None,
+        n_answer_tokens: int,
+        held_limit: limits.ByteLimit,
     ):
         self.id = id
         self.head: dialect.AnswerHead | None = None
@@ -77,11 +90,15 @@
         self._is_stream = is_stream
         self._stall_timeout_s = stall_timeout_s
         self._splitter = event_stream.EventSplitter()
+        self._meter = answer_bounds.AnswerMeter(
+            n_answer_tokens, limits.Reservation(held_limit)
+        )
         self._has_begun = False
         self._sent_s = loop.now_s()
         self._first_s = 0.0
         self._n_events = 0
         self._has_ended = False
+        self._is_over_bound = False
         self._timer: timers.Timer | None = None
         self._set_timer(first_byte_timeout_s)
 
@@ -108,7 +125,7 @@
         """See `upstream.Sink`."""
         self.head = self._read_head(status, fields)
         if self.head.kind is dialect.AnswerKind.UNVERIFIED:
-            self._fail(events.AttemptResult.SPOILED)
+            self._fail(events.AttemptResult.SPOILED, "a success without its seal")
         elif not self.is_passed_through:
             self._begin()
 
@@ -116,14 +133,27 @@
         """See `upstream.Sink`."""
         if self._has_ended:
             return
+        try:
+            self._meter.add_piece(len(data))
+            if self.is_passed_through:
+                self._pass_events(data)
+            else:
+                self._hold(data)
+        except errors.AnswerBoundError as exc:
+            self._is_over_bound = True
+            self._fail(events.AttemptResult.SPOILED, str(exc))
+
+    def _hold(self, data: bytes) -> None:
+        self._meter.check_held()
         self._set_timer(self._stall_timeout_s)
-        if not self.is_passed_through:
-            self.body += data
-            if len(self.body) > MAX_HELD_BYTES:
-                self._fail(events.AttemptResult.SPOILED)
-            return
+        self.body += data
+
+    def _pass_events(self, data: bytes) -> None:
         complete = self._splitter.feed(data)
+        self._meter.add_events(complete.n_events)
         if complete.data:
+            # Other bytes don't show that the server still works on the request.
+            self._set_timer(self._stall_timeout_s)
             self._begin()
             self._n_events += complete.n_events
             self._owner.on_events(self, complete.data, complete.last_id)
@@ -132,9 +162,10 @@
         """See `upstream.Sink`."""
         if self._has_ended:
             return
-        if self.is_passed_through and self._splitter.incomplete:
+        incomplete = self._splitter.incomplete
+        if self.is_passed_through and incomplete:
             # The HTTP message is complete, so the last bytes belong to the answer.
-            self._owner.on_events(self, self._splitter.incomplete, "")
+            self._owner.on_events(self, incomplete, "")
         assert self.head is not None
         self._report(_RESULT_BY_KIND[self.head.kind])
 
@@ -144,9 +175,10 @@
             return
         not_run_kinds = (dialect.AnswerKind.NOT_RUN, dialect.AnswerKind.MISDIRECTED)
         if self.head is not None and self.head.kind in not_run_kinds:
-            self._report(events.AttemptResult.NOT_RUN)
+            self._report(events.AttemptResult.NOT_RUN, detail)
             return
-        self._report(_RESULT_BY_FAILURE[failure])
+        self._is_over_bound = failure is upstream.Failure.OVER_BOUND
+        self._report(_RESULT_BY_FAILURE[failure], detail)
 
     def _begin(self) -> None:
         if not self._has_begun:
@@ -154,16 +186,16 @@
             self._first_s = self._loop.now_s() - self._sent_s
             self._owner.on_begun(self)
 
-    def _fail(self, result: events.AttemptResult) -> None:
+    def _fail(self, result: events.AttemptResult, detail: str) -> None:
         if self.conn is not None:
             self.conn.cancel()
-        self._report(result)
+        self._report(result, detail)
 
     def _on_silence_timeout(self) -> None:
         if not self._has_ended:
-            self._fail(events.AttemptResult.LOST)
+            self._fail(events.AttemptResult.LOST, "silent for too long")
 
-    def _report(self, result: events.AttemptResult) -> None:
+    def _report(self, result: events.AttemptResult, detail: str = "") -> None:
         self._end()
         # The connection may be used by another request from now on.
         self.conn = None
@@ -182,11 +214,14 @@
             first_s=self._first_s,
             took_s=self._loop.now_s() - self._sent_s,
             n_events=self._n_events,
+            detail=detail,
+            is_over_bound=self._is_over_bound,
         )
         self._owner.on_ended(self, ended)
 
     def _end(self) -> None:
         self._has_ended = True
+        self._meter.release()
         if self._timer is not None:
             self._timer.cancel()
 
--- a/packages/transport/bilberryridge/transport/ingress/event_stream.py
+++ b/packages/transport/bilberryridge/transport/ingress/event_stream.py
@@ -9,7 +9,11 @@
 
 import attrs
 
+from bilberryridge.transport import errors
+from bilberryridge.transport.ingress import answer_bounds
+
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4
 _ID = re.compile(rb"(?:^|\r\n|\n|\r)id: ?([^\r\n]*)")
 
 
@@ -34,11 +38,6 @@
 class EventSplitter:
     """Splits off complete events and holds back an incomplete one.
 
-    Attributes
-    ----------
-    incomplete : bytes
-        Bytes held back.
-
     Examples
     --------
     >>> splitter = EventSplitter()
@@ -49,19 +48,36 @@
     """
 
     def __init__(self) -> None:
-        self.incomplete = b""
+        self._held = bytearray()
+
+    @property
+    def incomplete(self) -> bytes:
+        """Bytes held back."""
+        return bytes(self._held)
 
     def feed(self, data: bytes) -> Events:
-        """Append bytes; return the events that are now complete."""
-        received = self.incomplete + data
+        """Append bytes; return the events that are now complete.
+
+        Raises
+        ------
+        errors.AnswerBoundError
+            An event is longer than `answer_bounds.MAX_EVENT_BYTES`.
+        """
+        # The bytes held before have no event's end, but may have the start of one.
+        search_from = max(0, len(self._held) - _MAX_END_BYTES + 1)
+        self._held += data
+        received = self._held
         end = 0
         last_id = ""
         n_events = 0
-        for match in _END.finditer(received):
+        for match in _END.finditer(received, search_from):
             ids = _ID.findall(received, end, match.end())
             if ids:
                 last_id = ids[-1].decode("latin-1")
             end = match.end()
             n_events += 1
-        self.incomplete = received[end:]
-        return Events(received[:end], last_id, n_events)
+        complete = bytes(received[:end])
+        del received[:end]
+        if len(received) > answer_bounds.MAX_EVENT_BYTES:
+            raise errors.AnswerBoundError(f"{len(received)} bytes without an event")
+        return Events(complete, last_id, n_events)
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -37,6 +37,8 @@
     reservation : limits.Reservation
         Bytes reserved for the body; released when the request ends.
     request_id : str
+    held_limit : ByteLimit
+        Of the bytes of all answers that are held until they are complete.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         body: bytes,
         reservation: limits.Reservation,
         request_id: str,
+        held_limit: limits.ByteLimit,
     ):
         self.request_id = request_id
         self.head = head
@@ -60,6 +63,7 @@
         self._conn: connection.Connection | None = conn
         self._body = body
         self._reservation = reservation
+        self._held_limit = held_limit
         self._attempt: attempt.Attempt | None = None
         self._last_event_id = ""
         self._is_committed = False
@@ -200,6 +204,8 @@
             effect.is_stream,
             effect.first_byte_timeout_s,
             effect.stall_timeout_s,
+            effect.n_answer_tokens,
+            self._held_limit,
         )
         self._attempt = source
         fields = (*fields, *self._length_fields())
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -9,8 +9,15 @@
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import effects, events, load_messages, node
-from bilberryridge.transport import connection, errors, headers, request_reader
+from bilberryridge.transport import (
+    connection,
+    errors,
+    headers,
+    limits,
+    request_reader,
+)
 from bilberryridge.transport.ingress import (
+    answer_bounds,
     connection_pool,
     dialect,
     event_loop,
@@ -63,6 +70,7 @@
         self._arrived_s: dict[str, float] = {}
         self._logged_ids: dict[str, str] = {}
         self._n_requests = 0
+        self._held_limit = limits.ByteLimit(answer_bounds.MAX_TOTAL_HELD_BYTES)
         self._queued_events: collections.deque[events.Event] = collections.deque()
         self._is_handling = False
         self._effect_handlers: dict[type, Callable[[Any], None]] = {
@@ -119,6 +127,7 @@
             received.body,
             received.reservation,
             request_id,
+            self._held_limit,
         )
         self._exchanges[request_id] = ex
         self._by_conn[conn] = ex
@@ -262,6 +271,10 @@
         }
         if event.load is not None:
             log_fields["load"] = list(attrs.astuple(event.load))
+        if event.detail:
+            log_fields["detail"] = event.detail
+        if event.is_over_bound:
+            self._counters.count("ingress_answers_over_bound")
         self._log("attempt ended", event.request_id, log_fields)
         self._counters.count("ingress_attempts", (event.result.value,))
 
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_event_stream.py
@@ -0,0 +1,70 @@
+"""Splitting of streams: pieces of any size, and streams without an event's end."""
+
+import itertools
+import time
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from bilberryridge.transport import errors
+from bilberryridge.transport.ingress import answer_bounds, event_stream
+
+TEXTS = strategies.lists(
+    strategies.sampled_from(
+        [
+            b"\n",
+            b"\r",
+            b"\r\n",
+            b"id: 7",
+            b"id:",
+            b"data: a",
+            b":",
+            b"\x00\xff",
+            b"x" * 9,
+        ]
+    ),
+    max_size=40,
+).map(b"".join)
+
+
+def feed_all(pieces):
+    """Return the bytes, the last id and the number of all complete events."""
+    splitter = event_stream.EventSplitter()
+    fed = [splitter.feed(piece) for piece in pieces]
+    ids = [events.last_id for events in fed if events.last_id]
+    data = b"".join(events.data for events in fed)
+    n_events = sum(events.n_events for events in fed)
+    return data, ids[-1:], n_events, splitter.incomplete
+
+
+@hypothesis.given(TEXTS, strategies.lists(strategies.integers(0, 200), max_size=8))
+def test_any_pieces_give_the_events_of_one_piece(text, cuts):
+    bounds = [0, *sorted(min(cut, len(text)) for cut in cuts), len(text)]
+    pieces = [text[a:b] for a, b in itertools.pairwise(bounds)]
+    whole = feed_all([text])
+    assert feed_all(pieces) == whole
+    assert feed_all(text[n : n + 1] for n in range(len(text))) == whole
+    assert whole[0] + whole[3] == text
+
+
+@pytest.mark.parametrize("n_piece_bytes", [1, 100, 64 << 10])
+def test_bytes_without_an_event_are_refused_within_the_bound(n_piece_bytes):
+    splitter = event_stream.EventSplitter()
+    piece = b"x" * n_piece_bytes
+    n_accepted = answer_bounds.MAX_EVENT_BYTES // n_piece_bytes
+    began_s = time.process_time()
+    for _ in range(n_accepted):
+        splitter.feed(piece)
+    with pytest.raises(errors.AnswerBoundError):
+        splitter.feed(piece)
+    if n_piece_bytes > 1:
+        assert time.process_time() - began_s < 0.1
+
+
+def test_long_stream_of_whole_events_is_split_in_linear_time():
+    splitter = event_stream.EventSplitter()
+    event = b"id: 1\ndata: " + b"x" * 100 + b"\n\n"
+    n_events = sum(splitter.feed(event * 500).n_events for _ in range(100))
+    assert n_events == 50_000
+    assert splitter.incomplete == b""
--- /dev/null
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
@@ -0,0 +1,102 @@
+"""Answers of servers that send without end, over real sockets."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from bilberryridge.transport.ingress import connection_pool, event_loop, upstream
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+OTHERS_ANSWER = HEAD + b"Id: other\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "head without an end": (HEAD, b"X-Field: " + b"x" * 100 + b"\r\n"),
+    "field without an end": (HEAD + b"X: ", b"x" * 1000),
+    "status line without an end": (b"HTTP/1.1 200 ", b"x" * 1000),
+    "no answer": (b"", b"\x00" * 1000),
+    "chunk extension": (CHUNKED + b"5;", b"x" * 1000),
+    "trailers": (CHUNKED + b"0\r\n", b"X-Field: " + b"x" * 100 + b"\r\n"),
+    "informational": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "another answer": (OTHERS_ANSWER, b"400\r\n" + b"x" * 1024 + b"\r\n"),
+    "other answers": (b"", HEAD + b"Id: other\r\nContent-Length: 1\r\n\r\nx"),
+}
+GENEROUS_S = 20.0
+MAX_SENT_BYTES = 8 << 20
+"""Beyond the bounds, this may stand in the buffers of the sockets."""
+
+
+class Sink:
+    def __init__(self):
+        self.pieces = []
+        self.failure = None
+        self.is_complete = False
+
+    def is_matching_answer(self, fields):
+        return ("id", "other") not in [(n.lower(), v) for n, v in fields]
+
+    def on_head(self, status, fields):
+        self.status = status
+
+    def on_body(self, data):
+        self.pieces.append(data)
+
+    def on_end(self):
+        self.is_complete = True
+
+    def on_failed(self, failure, detail):
+        self.failure = failure
+
+
+@contextlib.contextmanager
+def open_server(first, repeated):
+    """Send bytes without end to each connection; yield address and bytes sent."""
+    n_sent = []
+
+    def serve(listener):
+        with contextlib.suppress(OSError):
+            sock, _ = listener.accept()
+            sock.recv(65_536)
+            sock.sendall(first)
+            block = repeated * max(1, 65_536 // max(1, len(repeated)))
+            while sum(n_sent) < 64 << 20 and repeated:
+                n_sent.append(sock.send(block))
+            sock.close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        threading.Thread(target=serve, args=(listener,), daemon=True).start()
+        yield listener.getsockname(), n_sent
+
+
+def request(loop, address):
+    sink = Sink()
+    pool = connection_pool.Pool(loop)
+    conn = pool.send_request(address, "GET", "/x", (("Host", "h"),), b"", sink)
+    end_s = loop.now_s() + GENEROUS_S
+    while sink.failure is None and not sink.is_complete and loop.now_s() < end_s:
+        loop.run_once()
+    return sink, conn
+
+
+@pytest.mark.parametrize("shape", sorted(ENDLESS))
+def test_endless_bytes_close_the_connection(shape):
+    with (
+        open_server(*ENDLESS[shape]) as (address, n_sent),
+        event_loop.open_loop() as lp,
+    ):
+        sink, conn = request(lp, address)
+        assert sink.failure in (upstream.Failure.SPOILED, upstream.Failure.OVER_BOUND)
+        assert conn.is_closed
+        assert sum(n_sent) < MAX_SENT_BYTES
+
+
+def test_parts_of_an_answer_leave_turns_to_other_connections():
+    answer = CHUNKED + b"1\r\nx\r\n" * 2_000 + b"0\r\n\r\n"
+    turns = []
+    with open_server(answer, b"") as (address, _), event_loop.open_loop() as loop:
+        loop.every(0.0, lambda: turns.append(1))
+        sink, _ = request(loop, address)
+    assert sink.is_complete
+    assert b"".join(sink.pieces) == b"x" * 2_000
+    assert len(turns) >= 2_000 / upstream.MAX_EVENTS_PER_TURN
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -33,6 +33,12 @@
 """Subtracted from the idle time that the server states, which it measures itself."""
 MAX_SKIPPED_ANSWERS = 3
 """Answers to earlier requests that are skipped before the connection is closed."""
+MAX_SKIPPED_BYTES = 1 << 20
+"""Bytes of their bodies that are skipped before the connection is closed."""
+MAX_INFORMATIONAL_ANSWERS = 10
+MAX_EVENTS_PER_TURN = 100
+"""Parts of an answer that are handled before other connections have their turn; one
+takes some 20 us."""
 
 
 class Failure(enum.Enum):
@@ -41,6 +47,8 @@
     NOT_SENT = "not sent"
     LOST = "lost"
     SPOILED = "spoiled"
+    OVER_BOUND = "over bound"
+    """More was sent than any answer can have."""
 
 
 class Sink(Protocol):
@@ -104,7 +112,10 @@
         self._is_paused = False
         self._mask = selectors.EVENT_WRITE
         self._n_skipped = 0
+        self._n_skipped_bytes = 0
+        self._n_informational = 0
         self._is_skipping = False
+        self._is_parsing_later = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._connect_timer = loop.after(CONNECT_TIMEOUT_S, self._on_connect_timeout)
         self._connect()
@@ -118,6 +129,8 @@
         """
         self._sink = sink
         self._has_sent = False
+        self._n_skipped_bytes = 0
+        self._n_informational = 0
         self._request = h11.Request(method=method, target=target, headers=list(fields))
         self._outgoing += self._http.send(self._request) or b""
         if body:
@@ -229,7 +242,8 @@
     def _watch(self) -> None:
         if self.is_closed or self._is_connecting:
             return
-        mask = 0 if self._is_paused else selectors.EVENT_READ
+        is_reading = not (self._is_paused or self._is_parsing_later)
+        mask = selectors.EVENT_READ if is_reading else 0
         if self._outgoing:
             mask |= selectors.EVENT_WRITE
         if mask == self._mask:
@@ -262,19 +276,53 @@
                 self._fail(Failure.SPOILED, str(exc))
 
     def _handle_events(self) -> None:
-        while self._sink is not None and not self.is_closed:
-            event = self._http.next_event()
-            if isinstance(event, h11.Response):
-                self._handle_head(event)
-            elif isinstance(event, h11.Data):
-                if not self._is_skipping:
-                    self._sink.on_body(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._handle_end()
-            elif isinstance(event, h11.ConnectionClosed):
-                self._fail(Failure.LOST, "connection closed without an answer")
-            elif not isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self._sink is None or self.is_closed or not self._handle_next():
                 return
+        if self._sink is not None and not self.is_closed:
+            self._is_parsing_later = True
+            self._watch()
+            self._loop.after(0.0, self._handle_more)
+
+    def _handle_more(self) -> None:
+        """Handle what was received and not parsed in the last turn."""
+        self._is_parsing_later = False
+        if self.is_closed:
+            return
+        self._watch()
+        try:
+            self._handle_events()
+        except h11.RemoteProtocolError as exc:
+            self._fail(Failure.SPOILED, str(exc))
+
+    def _handle_next(self) -> bool:
+        """Handle the next part of an answer; return whether there was a whole one."""
+        assert self._sink is not None
+        event = self._http.next_event()
+        if isinstance(event, h11.Response):
+            self._handle_head(event)
+        elif isinstance(event, h11.Data):
+            self._handle_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._handle_end()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail(Failure.LOST, "connection closed without an answer")
+        elif isinstance(event, h11.InformationalResponse):
+            self._n_informational += 1
+            if self._n_informational > MAX_INFORMATIONAL_ANSWERS:
+                self._fail(Failure.OVER_BOUND, "too many informational answers")
+        else:
+            return False
+        return True
+
+    def _handle_data(self, data: bytes) -> None:
+        assert self._sink is not None
+        if not self._is_skipping:
+            self._sink.on_body(data)
+            return
+        self._n_skipped_bytes += len(data)
+        if self._n_skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail(Failure.OVER_BOUND, "too long an answer to another request")
 
     def _handle_head(self, event: h11.Response) -> None:
         fields = tuple(
@@ -286,10 +334,7 @@
         if self._is_skipping:
             self._n_skipped += 1
             if self._n_skipped > MAX_SKIPPED_ANSWERS:
-                self._fail(
-                    Failure.SPOILED,
-                    "too many answers to other requests",
-                )
+                self._fail(Failure.OVER_BOUND, "too many answers to other requests")
             return
         self._update_idle_limit(fields)
         self._sink.on_head(event.status_code, fields)
