Ingress: work for each load report no longer grows with the daemons of a region

Cause: profile of the emulator at 195 daemons (67, 58, 70 a region; 30, 18, 10 engines): the worst failure rate was searched over all shares for each share of each report, a message was sent by a search over all links, and each tick listed all members three times. Change: the worst rate is searched only when it has fallen, links are found by VM, members are listed when a report is due, expired ones once a second. A second hello on a link is logged and ignored.

--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -56,19 +56,17 @@
 
 def on_tick(st: state.State, now_s: float) -> None:
     """Send the load reports that are due to other daemons."""
-    linked = st.members.linked()
-    local_peers = [
-        entry for entry in linked if entry.region == st.cfg.local_entry.region
-    ]
-    interval_s = max(DAEMON_LOADS_INTERVAL_S, len(local_peers) / MAX_DAEMON_LOADS_PER_S)
-    if now_s - st.daemon_loads_reported_s >= interval_s:
+    local_region = st.cfg.local_entry.region
+    if now_s - st.daemon_loads_reported_s >= st.daemon_loads_interval_s:
+        local_peers = [e for e in st.members.linked() if e.region == local_region]
         st.daemon_loads_reported_s = now_s
+        st.daemon_loads_interval_s = max(
+            DAEMON_LOADS_INTERVAL_S, len(local_peers) / MAX_DAEMON_LOADS_PER_S
+        )
         _send_daemon_loads(st, local_peers, now_s)
     if now_s - st.region_loads_reported_s >= REGION_LOADS_INTERVAL_S:
         st.region_loads_reported_s = now_s
-        remote_peers = [
-            entry for entry in linked if entry.region != st.cfg.local_entry.region
-        ]
+        remote_peers = [e for e in st.members.linked() if e.region != local_region]
         _send_region_loads(st, remote_peers, now_s)
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/members.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/members.py
@@ -7,6 +7,9 @@
 LAPSE_GRACE_S = 3.0
 """How long a daemon whose registration lapsed during a store outage is still considered
 registered; it registers again within a second of the store's recovery."""
+REMOVAL_INTERVAL_S = 1.0
+"""Interval of the search for daemons that are gone for longer; they count as not
+serving before."""
 UNREACHABLE_S = 6.0
 """How long a registered daemon counts as not serving after its link closed or failed to
 open."""
@@ -33,6 +36,7 @@
     def __init__(self, local_entry: ingress.EntryVm):
         self.local_entry = local_entry
         self._by_name: dict[str, _Member] = {}
+        self._removed_s = float("-inf")
 
     def update(
         self, entries: tuple[ingress.EntryVm, ...], is_settled: bool, now_s: float
@@ -98,6 +102,9 @@
 
     def remove_expired(self, now_s: float) -> None:
         """Remove daemons without a link whose registration ended long ago."""
+        if now_s - self._removed_s < REMOVAL_INTERVAL_S:
+            return
+        self._removed_s = now_s
         for name, member in list(self._by_name.items()):
             is_unregistered = member.unregistered_s is not None
             if (
--- a/packages/decisions/bilberryridge/decisions/ingress/open_work.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/open_work.py
@@ -127,15 +127,19 @@
 
     def set_share(self, vm: str, share: load_messages.ServerShare) -> None:
         """Set another daemon's share."""
-        self._subtract_share(vm)
+        before = self.peer_shares.get(vm)
+        if before is not None:
+            self.sums.add(before, -1)
         self.peer_shares[vm] = share
         self.sums.add(share)
-        self._update_worst_failure_rate()
+        self._update_worst_failure_rate(before, share.failure_rate)
 
     def remove_share(self, vm: str) -> None:
         """Remove another daemon's share."""
-        self._subtract_share(vm)
-        self._update_worst_failure_rate()
+        before = self.peer_shares.pop(vm, None)
+        if before is not None:
+            self.sums.add(before, -1)
+        self._update_worst_failure_rate(before, 0.0)
 
     def share(
         self,
@@ -155,11 +159,12 @@
             n_sent_tokens,
         )
 
-    def _subtract_share(self, vm: str) -> None:
-        before = self.peer_shares.pop(vm, None)
-        if before is not None:
-            self.sums.add(before, -1)
-
-    def _update_worst_failure_rate(self) -> None:
-        failure_rates = (share.failure_rate for share in self.peer_shares.values())
-        self.worst_failure_rate = max(failure_rates, default=0.0)
+    def _update_worst_failure_rate(
+        self, before: load_messages.ServerShare | None, failure_rate: float
+    ) -> None:
+        """Look at all shares only where the worst one has fallen."""
+        if failure_rate >= self.worst_failure_rate:
+            self.worst_failure_rate = failure_rate
+        elif before is not None and before.failure_rate >= self.worst_failure_rate:
+            rates = [share.failure_rate for share in self.peer_shares.values()]
+            self.worst_failure_rate = max(rates, default=0.0)
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -274,13 +274,15 @@
             server = self.by_id.get(server_id)
             if server is None:
                 continue
-            parts = (ingress.PromptPart(*part) for part in share.parts)
-            server.cache.add(parts, now_s)
+            if share.parts:
+                parts = (ingress.PromptPart(*part) for part in share.parts)
+                server.cache.add(parts, now_s)
+                share = attrs.evolve(share, parts=())
             before = server.work.peer_shares.get(vm)
             if before is not None:
                 n_new = share.n_sent_tokens - before.n_sent_tokens
                 server.prefill.add(max(0, n_new), now_s)
-            server.work.set_share(vm, attrs.evolve(share, parts=()))
+            server.work.set_share(vm, share)
 
     def changed_shares(self, now_s: float) -> dict[str, load_messages.ServerShare]:
         """Return this daemon's shares that changed since they were last reported."""
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -154,6 +154,7 @@
         self.longest_timeout_s: dict[str, float] = {}
         self.stopping_s: float | None = None
         self.daemon_loads_reported_s = float("-inf")
+        self.daemon_loads_interval_s = 0.0
         self.region_loads_reported_s = float("-inf")
         self.region_report_turn = 0
         self.effects: list[effects.Effect] = []
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_open_work.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_open_work.py
@@ -1,5 +1,7 @@
 """Incremental sums of open work equal the totals, for any order of events."""
 
+import random
+
 import hypothesis
 from hypothesis import strategies as st
 
@@ -52,3 +54,18 @@
     assert work.sums == sums
     failure_rates = [share.failure_rate for share in work.peer_shares.values()]
     assert work.worst_failure_rate == max(failure_rates, default=0.0)
+
+
+def test_worst_failure_rate_follows_all_shares():
+    random_state = random.Random(3)
+    work = open_work.OpenWork()
+    rates = {}
+    for _ in range(500):
+        vm = random_state.choice("abcd")
+        if random_state.random() < 0.3:
+            rates.pop(vm, None)
+            work.remove_share(vm)
+        else:
+            rates[vm] = random_state.choice([0.0, 0.1, 0.5, 0.9])
+            work.set_share(vm, load_messages.ServerShare(failure_rate=rates[vm]))
+        assert work.worst_failure_rate == max(rates.values(), default=0.0)
--- a/packages/peers/bilberryridge/peers/links.py
+++ b/packages/peers/bilberryridge/peers/links.py
@@ -90,6 +90,7 @@
         )
         self._links: set[Link] = set()
         self._entry_by_link: dict[Link, ingress.EntryVm] = {}
+        self._links_by_vm: dict[str, list[Link]] = {}
         self._last_encoded: tuple[link_codec.Message | None, bytes] = (None, b"")
         self._masks: dict[Link, int] = {}
         self._dialled_s: dict[str, float] = {}
@@ -116,8 +117,8 @@
 
     def send(self, vm: str, message: link_codec.Message) -> bool:
         """Send a message to a daemon; return whether a link had space to queue it."""
-        for link, entry in self._entry_by_link.items():
-            if entry.name == vm and link.is_writable:
+        for link in self._links_by_vm.get(vm, ()):
+            if link.is_writable:
                 link.send_message(self._encode(message))
                 self._flush(link)
                 return True
@@ -155,6 +156,7 @@
         """
         self._is_closed = True
         self._entry_by_link.clear()
+        self._links_by_vm.clear()
         self._loop.selector.unregister(self._listening_sock)
         self._listening_sock.close()
         for link in list(self._links):
@@ -265,7 +267,11 @@
             is_older = linked.incarnation != entry.incarnation
             if linked.name == entry.name and is_older and other is not link:
                 self._drop(other, "replaced")
+        if link in self._entry_by_link:
+            LOGGER.warning("second hello on a link", extra={"vm": entry.name})
+            return
         self._entry_by_link[link] = entry
+        self._links_by_vm.setdefault(entry.name, []).append(link)
         self._on_up(entry)
 
     def _flush(self, link: Link) -> None:
@@ -293,10 +299,10 @@
         link.close()
         entry = self._entry_by_link.pop(link, None)
         if entry is not None:
-            is_still_linked = any(
-                e.name == entry.name for e in self._entry_by_link.values()
-            )
-            if not is_still_linked:
+            links_to_vm = self._links_by_vm[entry.name]
+            links_to_vm.remove(link)
+            if not links_to_vm:
+                del self._links_by_vm[entry.name]
                 self._on_down(entry.name, entry.incarnation)
         elif link.target_vm and not self._is_closed:
             self._on_dial_failed(link.target_vm)
