Store: one daemon of a failure domain follows the store and hands changes on

Change: decisions.store_watchers names one daemon a failure domain by rendezvous hashing among the linked ones. It pushes what it applies and its position each 0.4 s, with the age of the store's last answer (its lease is renewed each 0.6 s to show that). A daemon that hears of no position as good as its own within 1.6 s, of another era, or lost the store itself, follows it as before; one that lags asks. Overrides no longer carry a revision: applying them could have skipped changes. An entry just written is not taken for missing for 0.8 s.

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -16,6 +16,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.daemon import ingress_platform, line_log, metrics
+from bilberryridge.decisions import store_watchers
 from bilberryridge.decisions.ingress import events, load_messages, node
 from bilberryridge.peers import link_codec, links
 from bilberryridge.store import follower, mirror, registration, store_era
@@ -104,7 +105,12 @@
             eras,
             self._on_settled,
             self._on_store_restored,
+            self._hand_on,
+            self._is_covered,
         )
+        self._watchers = store_watchers.StoreWatchers(local_entry)
+        self._was_settled = False
+        self._was_covered = False
         self._entry_key = platform.decoder.entry_prefix + local_entry.name
         self._registration = registration.Registration(
             platform.writer(loop, self._pool, eras),
@@ -112,6 +118,8 @@
             self._entry_key,
             platform.decoder.encode_entry(local_entry),
             eras,
+            self._is_following,
+            self._follower.record_contact,
         )
         self._links = links.Links(
             loop,
@@ -119,7 +127,7 @@
             cfg.seeds,
             lambda: self._node.state.members.link_targets(loop.now_s()),
             self._on_link_up,
-            lambda vm, inc: self._gateway.post(events.LinkDown(vm, inc)),
+            self._on_link_down,
             self._on_message,
         )
         self._peer_settled_at_s = float("-inf")
@@ -131,6 +139,7 @@
         loop.every(LOG_WRITE_INTERVAL_S, log.write_pending)
         loop.every(POOL_CHECK_INTERVAL_S, self._pool.close_idle)
         loop.every(PEER_REQUEST_INTERVAL_S, self._request_changes)
+        loop.every(store_watchers.REPORT_INTERVAL_S, self._report_position)
 
     def run(self) -> None:
         """Serve until the graceful stop is complete."""
@@ -236,6 +245,71 @@
         self._gateway.post(events.LinkUp(entry))
         self._send_overrides(entry.name)
 
+    def _on_link_down(self, vm: str, incarnation: str) -> None:
+        self._watchers.remove(vm)
+        self._gateway.post(events.LinkDown(vm, incarnation))
+
+    def _is_following(self) -> bool:
+        """Return whether this daemon follows the store for its failure domain."""
+        return self._watchers.is_first(self._links.linked_entries())
+
+    def _is_covered(self) -> bool:
+        store_copy = self._store_copy
+        is_covered = not self._is_following() and self._watchers.is_covered(
+            store_copy.era, store_copy.revision, self._loop.now_s()
+        )
+        if is_covered != self._was_covered:
+            self._was_covered = is_covered
+            change = "left to the domain" if is_covered else "done here"
+            LOGGER.info(
+                "following the store is %s",
+                change,
+                extra={"era": store_copy.era, "revision": store_copy.revision},
+            )
+        return is_covered
+
+    def _report_position(self) -> None:
+        """Report this daemon's position to those for which it follows the store."""
+        age_s = self._follower.age_s
+        if age_s > store_watchers.MAX_AGE_S or not self._is_following():
+            return
+        position = store_watchers.StorePosition(
+            self._store_copy.era,
+            self._store_copy.revision,
+            age_s,
+            self._follower.is_settled,
+        )
+        self._send_to_domain(position)
+
+    def _hand_on(self, era: int, revision: int) -> None:
+        """Hand on the changes that the store has told since a revision.
+
+        In a new era the other daemons read all keys themselves.
+        """
+        if era != self._store_copy.era or not self._is_following():
+            return
+        changes = self._store_copy.changes_since(revision, era)
+        if changes.updates:
+            is_settled = self._follower.is_settled
+            self._send_to_domain(
+                link_codec.StoreChanges(changes, is_settled, since=revision)
+            )
+
+    def _send_to_domain(self, message: link_codec.Message) -> None:
+        for entry in self._watchers.domain_peers(self._links.linked_entries()):
+            self._links.send(entry.name, message)
+
+    def _on_position(self, vm: str, position: store_watchers.StorePosition) -> None:
+        now_s = self._loop.now_s()
+        self._watchers.record(vm, position, now_s)
+        store_copy = self._store_copy
+        if vm in self._watchers.ahead(store_copy.era, store_copy.revision, now_s):
+            self._ask_for_changes(vm)
+        is_settled = self._is_settled()
+        if is_settled and not self._was_settled:
+            self._on_settled()
+        self._was_settled = is_settled
+
     def _send_overrides(self, vm: str) -> None:
         overrides = self._store_copy.overrides()
         if overrides.updates:
@@ -244,7 +318,11 @@
 
     def _is_settled(self) -> bool:
         peer_report_age_s = self._loop.now_s() - self._peer_settled_at_s
-        return self._follower.is_settled or peer_report_age_s < PEER_SETTLED_VALID_S
+        if peer_report_age_s < PEER_SETTLED_VALID_S:
+            return True
+        return self._follower.is_settled and self._watchers.is_settled(
+            self._loop.now_s()
+        )
 
     def _request_changes(self) -> None:
         """Request the store changes from one peer while the store is unreachable."""
@@ -253,27 +331,34 @@
         linked_entries = self._links.linked_entries()
         if linked_entries:
             entry = self._node.state.random_state.choice(linked_entries)
-            self._links.send(
-                entry.name,
-                link_codec.ChangesRequest(
-                    self._store_copy.revision, self._store_copy.era
-                ),
-            )
+            self._ask_for_changes(entry.name)
+
+    def _ask_for_changes(self, vm: str) -> None:
+        store_copy = self._store_copy
+        request = link_codec.ChangesRequest(store_copy.revision, store_copy.era)
+        self._links.send(vm, request)
 
     def _on_message(self, vm: str, message: link_codec.Message) -> None:
         if isinstance(message, link_codec.ChangesRequest):
             changes = self._store_copy.changes_since(message.revision, message.era or 0)
             is_settled = self._follower.is_settled
             has_era = message.era is not None
-            reply = link_codec.StoreChanges(changes, is_settled, has_era)
+            reply = link_codec.StoreChanges(
+                changes, is_settled, has_era, message.revision
+            )
             self._links.send(vm, reply)
         elif isinstance(message, link_codec.StoreChanges):
-            self._on_peer_changes(message)
+            self._on_peer_changes(vm, message)
+        elif isinstance(message, store_watchers.StorePosition):
+            self._on_position(vm, message)
         elif isinstance(message, load_messages.DaemonLoads | load_messages.RegionLoads):
             self._gateway.post(events.PeerSaid(vm, message))
 
-    def _on_peer_changes(self, message: link_codec.StoreChanges) -> None:
+    def _on_peer_changes(self, vm: str, message: link_codec.StoreChanges) -> None:
         changes = message.changes
+        if not changes.is_full and message.since > self._store_copy.revision:
+            self._ask_for_changes(vm)
+            return
         if not message.has_era:
             changes = attrs.evolve(changes, era=self._store_copy.era)
         if message.is_settled and changes.era >= self._store_copy.era:
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -14,6 +14,7 @@
 import cbor2
 
 from bilberryridge.core import ingress
+from bilberryridge.decisions import store_watchers
 from bilberryridge.decisions.ingress import load_messages
 from bilberryridge.peers import codec
 from bilberryridge.store import mirror
@@ -53,15 +54,20 @@
         the sender.
     has_era : bool
         Whether the era is encoded; a daemon of an older build doesn't decode it.
+    since : int
+        The revision after which all changes are listed; they are of no use to a daemon
+        that is behind it.
     """
 
     changes: mirror.Changes
     is_settled: bool
     has_era: bool = True
+    since: int = 0
 
 
 Message = (
     Hello
+    | store_watchers.StorePosition
     | ChangesRequest
     | load_messages.DaemonLoads
     | load_messages.RegionLoads
@@ -170,13 +176,21 @@
         for update in changes.updates
         if isinstance(update, mirror.Deletion)
     ]
-    era = [changes.era] if message.has_era else []
+    era_fields = [changes.era, message.since] if message.has_era else []
     is_settled = message.is_settled
-    return [changes.revision, changes.is_full, items, deletions, is_settled, *era]
+    return [
+        changes.revision,
+        changes.is_full,
+        items,
+        deletions,
+        is_settled,
+        *era_fields,
+    ]
 
 
 def _unpack_changes(fields: list[Any]) -> StoreChanges:
-    revision, is_full, items, deletions, is_settled, *era = fields
+    revision, is_full, items, deletions, is_settled, *era_fields = fields
+    era, since = era_fields or (0, 0)
     updates: list[mirror.Item | mirror.Deletion] = [
         mirror.Item(str(key), bytes(value), int(at_revision))
         for key, value, at_revision in items
@@ -184,10 +198,15 @@
     updates += [
         mirror.Deletion(str(key), int(at_revision)) for key, at_revision in deletions
     ]
-    changes = mirror.Changes(
-        int(revision), tuple(updates), bool(is_full), int(era[0]) if era else 0
+    changes = mirror.Changes(int(revision), tuple(updates), bool(is_full), int(era))
+    return StoreChanges(changes, bool(is_settled), bool(era_fields), int(since))
+
+
+def _unpack_position(fields: list[Any]) -> store_watchers.StorePosition:
+    era, revision, age_s, is_settled = fields
+    return store_watchers.StorePosition(
+        int(era), int(revision), float(age_s), bool(is_settled)
     )
-    return StoreChanges(changes, bool(is_settled), bool(era))
 
 
 def _unpack_changes_request(fields: list[Any]) -> ChangesRequest:
@@ -205,6 +224,15 @@
     load_messages.DaemonLoads: ("domain", _pack_daemon_loads),
     load_messages.RegionLoads: ("region", _pack_region_loads),
     StoreChanges: ("changes", _pack_changes),
+    store_watchers.StorePosition: (
+        "position",
+        lambda message: [
+            message.era,
+            message.revision,
+            round(message.age_s, 3),
+            message.is_settled,
+        ],
+    ),
 }
 _UNPACK: dict[str, Callable[[list[Any]], Message]] = {
     "hello": _unpack_hello,
@@ -212,4 +240,5 @@
     "domain": _unpack_daemon_loads,
     "region": _unpack_region_loads,
     "changes": _unpack_changes,
+    "position": _unpack_position,
 }
--- a/packages/store/bilberryridge/store/follower.py
+++ b/packages/store/bilberryridge/store/follower.py
@@ -31,6 +31,9 @@
 """Time after the store came back from an older copy until the values are taken that it
 lists and that were replaced or deleted before. An entry that its server does not write
 again ends within three intervals of 1.2 s after the settling time."""
+COVERED_CHECK_S = 0.2
+"""Interval of the question whether another daemon still follows the store for this
+one."""
 MAX_RESTART_DELAY_S = 0.5
 """Upper bound of the random delay before all keys are read again after lost history or
 in a new era, which all daemons notice at the same moment."""
@@ -120,6 +123,11 @@
         be registered again.
     on_new_era : Callable
         Called when the mirror follows a store that came back from an older copy.
+    on_advanced : Callable
+        Called with the mirror's era and revision before changes of the store.
+    is_covered : Callable
+        Returns whether another daemon follows the store for this one, so that no call
+        is needed.
     """
 
     def __init__(
@@ -131,6 +139,8 @@
         eras: store_era.EraMonitor,
         on_settled: Callable[[], None],
         on_new_era: Callable[[], None] = lambda: None,
+        on_advanced: Callable[[int, int], None] = lambda era, revision: None,
+        is_covered: Callable[[], bool] = lambda: False,
     ):
         self.health = Health()
         self._reader = reader
@@ -139,6 +149,8 @@
         self._random_state = random_state
         self._on_settled = on_settled
         self._on_new_era = on_new_era
+        self._on_advanced = on_advanced
+        self._is_covered = is_covered
         self._n_failures = 0
         self._n_restarts = 0
         self._is_complete = False
@@ -149,6 +161,17 @@
         """Read all keys, then follow their changes."""
         self._request_changes(self._n_restarts)
 
+    @property
+    def age_s(self) -> float:
+        """Time since the store's last answer; infinite while it is unavailable."""
+        if self.health.is_unavailable:
+            return float("inf")
+        return self._clock.now_s() - self.health.last_answer_s
+
+    def record_contact(self) -> None:
+        """Record that the store has answered another call."""
+        self.health.last_answer_s = self._clock.now_s()
+
     @property
     def is_settled(self) -> bool:
         """Whether a missing key was removed, rather than lost in an outage."""
@@ -168,6 +191,9 @@
                 self._unless_restarted(lambda answer: self._on_read(answer, revision))
             )
             return
+        if not self.health.is_unavailable and self._is_covered():
+            self._schedule(COVERED_CHECK_S)
+            return
         on_watched = self._unless_restarted(self._on_watched)
         self._reader.watch(self._mirror.revision, WATCH_TIMEOUT_S, on_watched)
 
@@ -207,6 +233,7 @@
             self._on_failure(answer)
             return
         self._record_answer()
+        era, revision = self._mirror.era, self._mirror.revision
         self._is_complete = True
         # A store that tells no era is known to be restored by its revision.
         if self._is_restored or answer.revision < revision_before:
@@ -214,6 +241,7 @@
             self._follow_restored(answer, revision_before)
         else:
             self._mirror.apply(answer)
+        self._on_advanced(era, revision)
         self._request_changes(self._n_restarts)
 
     def _follow_restored(self, changes: mirror.Changes, revision_before: int) -> None:
@@ -243,7 +271,9 @@
             self._on_failure(answer)
             return
         self._record_answer()
+        era, revision = self._mirror.era, self._mirror.revision
         self._mirror.apply(answer)
+        self._on_advanced(era, revision)
         if answer.updates:
             self._schedule(COALESCING_PAUSE_S)
         else:
--- a/packages/store/bilberryridge/store/mirror.py
+++ b/packages/store/bilberryridge/store/mirror.py
@@ -232,7 +232,8 @@
             self.items.get(key) or Deletion(key, item.revision)
             for key, item in self.withheld.items()
         ]
-        return Changes(self.revision, tuple(updates), era=self.era)
+        # Not up to any revision: the receiver may lack other changes.
+        return Changes(0, tuple(updates), era=self.era)
 
     def changes_since(self, revision: int, era: int = 0) -> Changes:
         """Return the changes after a revision of an era.
--- a/packages/store/bilberryridge/store/registration.py
+++ b/packages/store/bilberryridge/store/registration.py
@@ -12,6 +12,11 @@
 """A killed daemon must disappear from the store within 8 s; links detect it sooner."""
 RENEWAL_INTERVAL_S = 1.8
 """Interval of renewals: two of them may be lost before the lease expires."""
+FOLLOWING_RENEWAL_INTERVAL_S = 0.6
+"""Interval of a daemon that follows the store for others: its renewals show them that
+it still reaches the store while its watch waits."""
+MIN_REGISTERED_S = 0.8
+"""Time after which an entry that was written is visible here."""
 RETRY_DELAY_S = 0.5
 """Wait after a failed call; the entry must be registered again within 1 s after the
 store has recovered."""
@@ -48,6 +53,10 @@
     value : bytes
         Encoded entry.
     eras : EraMonitor
+    is_following : Callable
+        Returns whether this daemon follows the store for others.
+    on_contact : Callable
+        Called when the store has answered.
     """
 
     def __init__(
@@ -57,6 +66,8 @@
         key: str,
         value: bytes,
         eras: store_era.EraMonitor,
+        is_following: Callable[[], bool] = lambda: False,
+        on_contact: Callable[[], None] = lambda: None,
     ):
         self._writer = writer
         self._clock = clock
@@ -67,6 +78,9 @@
         self._is_rewriting = False
         self._is_revoked = False
         self._n_starts = 0
+        self._registered_s = 0.0
+        self._is_following = is_following
+        self._on_contact = on_contact
         eras.subscribe(self._on_era)
 
     def start(self) -> None:
@@ -84,6 +98,9 @@
     def restore_if_missing(self, is_present: bool) -> None:
         """Write the entry again if it is missing although its lease is valid."""
         is_missing = self._is_registered and not is_present and not self._is_revoked
+        registered_for_s = self._clock.now_s() - self._registered_s
+        if registered_for_s < MIN_REGISTERED_S:
+            return
         if is_missing and not self._is_rewriting:
             LOGGER.info("this daemon's entry is missing in the store")
             self._is_rewriting = True
@@ -133,8 +150,9 @@
             self._writer.revoke(self._lease, self._on_revoked)
         elif answer is True:
             self._is_registered = True
+            self._registered_s = self._clock.now_s()
             LOGGER.info("registered", extra={"key": self._key, "lease": self._lease})
-            self._schedule_renewal(RENEWAL_INTERVAL_S)
+            self._schedule_renewal(self._renewal_interval_s())
         else:
             # The call may still take effect; writing the same value twice is harmless.
             self._schedule_start()
@@ -148,7 +166,16 @@
             LOGGER.info("the lease has ended", extra={"lease": self._lease})
             self.start()
             return
-        self._schedule_renewal(RENEWAL_INTERVAL_S if answer is True else RETRY_DELAY_S)
+        if answer is True:
+            self._on_contact()
+            self._schedule_renewal(self._renewal_interval_s())
+        else:
+            self._schedule_renewal(RETRY_DELAY_S)
+
+    def _renewal_interval_s(self) -> float:
+        if self._is_following():
+            return FOLLOWING_RENEWAL_INTERVAL_S
+        return RENEWAL_INTERVAL_S
 
     def _on_revoked(self, answer: bool | follower.CallFailure) -> None:
         if isinstance(answer, follower.CallFailure):
--- a/packages/store/bilberryridge/store/tests/test_follower.py
+++ b/packages/store/bilberryridge/store/tests/test_follower.py
@@ -258,6 +258,34 @@
     assert copy.items["key"].value == b"59"
 
 
+def test_covered_follower_makes_no_calls_until_it_is_needed():
+    clock, store, copy, tested = start_follower()
+    store.write("a", b"1")
+    clock.run_until(1.0)
+    tested._is_covered = lambda: True
+    clock.run_until(5.0)
+    n_calls = store.n_calls
+    store.write("a", b"2")
+    clock.run_until(20.0)
+    assert store.n_calls == n_calls
+    tested._is_covered = lambda: False
+    clock.run_until(20.0 + follower.COVERED_CHECK_S + 0.1)
+    assert copy.items["a"].value == b"2"
+
+
+def test_follower_that_lost_the_store_is_not_covered_until_it_was_answered():
+    clock, store, _, tested = start_follower()
+    clock.run_until(1.0)
+    store.fault = "refuse"
+    clock.run_until(2.0)
+    tested._is_covered = lambda: True
+    assert tested.age_s == float("inf")
+    store.fault = None
+    clock.run_until(3.0 + follower.WATCH_TIMEOUT_S)
+    assert not tested.health.is_unavailable
+    assert tested.age_s <= 1.0
+
+
 def test_calls_at_the_return_of_a_store_with_many_daemons():
     # The rates of 195 VMs' store: 3,200 writing and 16,000 reading calls a second.
     n_daemons, catch_up_s = 195, 6.0
--- a/packages/store/bilberryridge/store/tests/test_mirror.py
+++ b/packages/store/bilberryridge/store/tests/test_mirror.py
@@ -153,6 +153,7 @@
     old.apply(Changes(82, (Item("b", b"5.9", 82),), era=2))
     new = make_restored([], listed)
     new.apply(old.overrides())
+    assert new.revision == 80
     assert new.items["config"].value == b"0.6"
     assert new.items["a"].value == b"3.17"
     assert new.items["b"].value == b"5.1"
