Ingress: load reports of a large region are gathered in each failure domain

Cause: reports went directly to each daemon of the region, at most 100 messages a second from each, so with 67 daemons every 0.66 s: a peak was placed on old loads, and messages grew with the square of the daemons. Change: with more than ten others, one daemon a failure domain takes the reports of its domain, exchanges them with the region's other gathering daemons and hands them on. A daemon that hears of none reports directly and is reported to directly. A message on a link that is too short is an error of the codec now, not an unforeseen one (found by its test).

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -351,7 +351,7 @@
             self._on_peer_changes(vm, message)
         elif isinstance(message, store_watchers.StorePosition):
             self._on_position(vm, message)
-        elif isinstance(message, load_messages.DaemonLoads | load_messages.RegionLoads):
+        elif isinstance(message, load_messages.LoadMessage):
             self._gateway.post(events.PeerSaid(vm, message))
 
     def _on_peer_changes(self, vm: str, message: link_codec.StoreChanges) -> None:
@@ -367,9 +367,7 @@
         if changes.is_full or changes.era <= self._store_copy.era:
             self._store_copy.apply(changes)
 
-    def _send_peer_message(
-        self, vm: str, message: load_messages.DaemonLoads | load_messages.RegionLoads
-    ) -> None:
+    def _send_peer_message(self, vm: str, message: load_messages.LoadMessage) -> None:
         self._links.send(vm, message)
 
     # Time and signals
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -70,6 +70,7 @@
     | store_watchers.StorePosition
     | ChangesRequest
     | load_messages.DaemonLoads
+    | load_messages.GatheredLoads
     | load_messages.RegionLoads
     | StoreChanges
 )
@@ -98,7 +99,13 @@
     try:
         kind, *fields = cbor2.loads(data)
         return _UNPACK[kind](fields)
-    except (cbor2.CBORError, KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (
+        cbor2.CBORError,
+        LookupError,
+        TypeError,
+        ValueError,
+        AttributeError,
+    ) as exc:
         raise codec.CodecError(f"not a message on a link: {exc!r}") from exc
 
 
@@ -115,7 +122,7 @@
         ]
         for server_id, share in message.by_server.items()
     }
-    return [fields_by_server]
+    return [fields_by_server, message.is_covered]
 
 
 def _unpack_daemon_loads(fields: list[Any]) -> load_messages.DaemonLoads:
@@ -126,7 +133,28 @@
         by_server[str(server_id)] = load_messages.ServerShare(
             n_open, n_pending, n_urgent, n_memory, parts, float(share[5]), int(share[6])
         )
-    return load_messages.DaemonLoads(by_server)
+    # Daemons of older builds are not covered and don't say so.
+    return load_messages.DaemonLoads(by_server, bool(fields[1:] and fields[1]))
+
+
+def _pack_gathered(message: load_messages.GatheredLoads) -> list[Any]:
+    return [
+        {
+            vm: [report.incarnation, _pack_daemon_loads(report.loads)[0]]
+            for vm, report in message.by_vm.items()
+        }
+    ]
+
+
+def _unpack_gathered(fields: list[Any]) -> load_messages.GatheredLoads:
+    return load_messages.GatheredLoads(
+        {
+            str(vm): load_messages.DaemonReport(
+                str(incarnation), _unpack_daemon_loads([by_server])
+            )
+            for vm, (incarnation, by_server) in fields[0].items()
+        }
+    )
 
 
 def _pack_region_loads(message: load_messages.RegionLoads) -> list[Any]:
@@ -222,6 +250,7 @@
     Hello: ("hello", lambda message: attrs.astuple(message.entry)),
     ChangesRequest: ("want", lambda message: [message.revision, message.era]),
     load_messages.DaemonLoads: ("domain", _pack_daemon_loads),
+    load_messages.GatheredLoads: ("gathered", _pack_gathered),
     load_messages.RegionLoads: ("region", _pack_region_loads),
     StoreChanges: ("changes", _pack_changes),
     store_watchers.StorePosition: (
@@ -238,6 +267,7 @@
     "hello": _unpack_hello,
     "want": _unpack_changes_request,
     "domain": _unpack_daemon_loads,
+    "gathered": _unpack_gathered,
     "region": _unpack_region_loads,
     "changes": _unpack_changes,
     "position": _unpack_position,
--- a/packages/standins/bilberryridge/standins/ingress_play/__main__.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/__main__.py
@@ -37,6 +37,7 @@
     rules: Annotated[str, typer.Option(help="Rules, by commas.")] = "",
     change: Annotated[list[str], typer.Option(help="MODULE.CONSTANT=VALUE.")] = [],  # noqa: B006
     grown: Annotated[bool, typer.Option(help="The grown deployment.")] = False,
+    large: Annotated[bool, typer.Option(help="The large deployment.")] = False,
     length_s: Annotated[float, typer.Option(help="Time in which requests come.")] = 34,
 ) -> None:
     """Print the means over all seeds for each load and placement rule.
@@ -47,7 +48,9 @@
     """
     _set_constants(change)
     regions = play.GROWN_REGIONS if grown else play.REGIONS
-    groups = callers.GROWN_GROUPS if grown else callers.GROUPS
+    if large:
+        regions = play.LARGE_REGIONS
+    groups = callers.GROWN_GROUPS if grown or large else callers.GROUPS
     names = [group.name for group in groups]
     for load_x in x:
         header = "".join(
--- a/packages/standins/bilberryridge/standins/ingress_play/play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/play.py
@@ -56,6 +56,14 @@
 """Grown deployment of the same cooperative, with a third of the real number of daemons:
 these take most of the run time of the simulation."""
 
+LARGE_REGIONS = (
+    Region("ontario", 67, 30, 2, 200.0, 4.0),
+    Region("michigan", 58, 18, 2, 183.0, 14.0),
+    Region("ohio", 70, 10, 2, 183.0, 26.0),
+)
+"""Large deployment of the same cooperative, with all of its daemons. Before the first
+peak the daemons have time to agree on who gathers loads."""
+
 
 @attrs.frozen
 class Load:
