--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_request_handlers.py
@@ -133,6 +133,16 @@
     assert isinstance(retried, effects.SendToServer)
 
 
+def test_evacuation_that_the_store_may_have_lost_holds_until_it_is_settled():
+    daemon = make_daemon()
+    daemon.handle(events.EvacuationsRead(frozenset(["d1"])))
+    daemon.handle(events.EvacuationsRead(frozenset(), is_settled=False))
+    assert daemon.arrive("1", "safe").refusal.reason is outcomes.Reason.NO_SERVER
+    daemon.handle(events.EvacuationsRead(frozenset(), is_settled=True))
+    daemon.now_s += 20.0
+    assert isinstance(daemon.arrive("2", "safe"), effects.SendToServer)
+
+
 def test_leaving_caller_cancels_all_but_unsafe_requests():
     daemon = make_daemon()
     daemon.arrive("1", "safe")
