--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -15,11 +15,14 @@
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.daemon import ingress_platform, line_log, metrics
-from bilberryridge.decisions import store_watchers
+from bilberryridge.daemon import (
+    ingress_platform,
+    line_log,
+    metrics,
+    store_following,
+)
 from bilberryridge.decisions.ingress import events, load_messages, node
 from bilberryridge.peers import link_codec, links
-from bilberryridge.store import follower, mirror, registration, store_era
 from bilberryridge.transport import settings
 from bilberryridge.transport.ingress import (
     connection_pool,
@@ -36,8 +39,6 @@
 """Interval of deadline checks; callers tolerate a delay of at most 0.5 s."""
 LOG_WRITE_INTERVAL_S = 0.1
 POOL_CHECK_INTERVAL_S = 0.5
-PEER_REQUEST_INTERVAL_S = 0.4
-"""Interval of requests for store changes to a peer while the store is unreachable."""
 LISTEN_AFTER_STOP_S = 2.8
 """Time after SIGTERM during which new connections are accepted. Callers use a directory
 answer for at most three times its lifetime of 1 s, and try another VM when this one
@@ -45,8 +46,6 @@
 GRACE_FRACTION = 0.9
 """Fraction of the grace period after which open streams are aborted. Streams must be
 served for five sixths of it, and the daemon must exit before SIGKILL."""
-PEER_SETTLED_VALID_S = 1.0
-"""How long a peer's report that its copy of the store is settled remains valid."""
 DIRECTORY_TTL_S = 1.0
 """Callers stop using a lost VM after one to three times this lifetime."""
 MAX_CONNECTIONS = 1500
@@ -95,32 +94,6 @@
             self._send_peer_message,
             counters,
         )
-        self._store_copy = mirror.Mirror(self._on_changed, platform.decoder.generation)
-        eras = store_era.EraMonitor()
-        self._follower = follower.Follower(
-            platform.reader(loop, self._pool, eras),
-            self._store_copy,
-            loop,
-            random_state,
-            eras,
-            self._on_settled,
-            self._on_store_restored,
-            self._hand_on,
-            self._is_covered,
-        )
-        self._watchers = store_watchers.StoreWatchers(local_entry)
-        self._was_settled = False
-        self._was_covered = False
-        self._entry_key = platform.decoder.entry_prefix + local_entry.name
-        self._registration = registration.Registration(
-            platform.writer(loop, self._pool, eras),
-            loop,
-            self._entry_key,
-            platform.decoder.encode_entry(local_entry),
-            eras,
-            self._is_following,
-            self._follower.record_contact,
-        )
         self._links = links.Links(
             loop,
             local_entry,
@@ -130,7 +103,15 @@
             self._on_link_down,
             self._on_message,
         )
-        self._peer_settled_at_s = float("-inf")
+        self._following = store_following.StoreFollowing(
+            platform,
+            loop,
+            self._pool,
+            local_entry,
+            self._links,
+            random_state,
+            self._gateway.post,
+        )
         self._stopping_since_s: float | None = None
         self._is_stop_requested = False
         self._is_reload_requested = False
@@ -138,16 +119,13 @@
         loop.every(TICK_INTERVAL_S, self._tick)
         loop.every(LOG_WRITE_INTERVAL_S, log.write_pending)
         loop.every(POOL_CHECK_INTERVAL_S, self._pool.close_idle)
-        loop.every(PEER_REQUEST_INTERVAL_S, self._request_changes)
-        loop.every(store_watchers.REPORT_INTERVAL_S, self._report_position)
 
     def run(self) -> None:
         """Serve until the graceful stop is complete."""
         LOGGER.info(
             "started", extra={"incarnation": self._cfg.node.local_entry.incarnation}
         )
-        self._follower.start()
-        self._registration.start()
+        self._following.start()
         self._loop.run()
         LOGGER.info("stopped", extra={"open": self._gateway.n_open_requests})
 
@@ -210,162 +188,21 @@
     def _choose(self, host: str, region: str, domain: str) -> list[ingress.EntryVm]:
         return self._node.entries_for(self._loop.now_s(), host, region, domain)
 
-    # Store
-
-    def _on_changed(self, keys: frozenset[str]) -> None:
-        decoder, store_copy = self._platform.decoder, self._store_copy
-        table = decoder.table(store_copy)
-        if table is not None:
-            self._gateway.post(events.TableRead(table))
-        self._on_settled()
-
-    def _on_settled(self) -> None:
-        decoder, store_copy = self._platform.decoder, self._store_copy
-        is_settled = self._is_settled()
-        evacuated = decoder.evacuated(store_copy)
-        self._gateway.post(events.EvacuationsRead(evacuated, is_settled))
-        servers = decoder.servers(store_copy)
-        self._gateway.post(events.ServersRead(servers, is_settled))
-        entries = decoder.entries(store_copy)
-        self._gateway.post(events.EntriesRead(entries, is_settled))
-        local_entry = self._cfg.node.local_entry
-        is_present = any(
-            entry.incarnation == local_entry.incarnation for entry in entries
-        )
-        self._registration.restore_if_missing(
-            is_present or self._follower.health.is_unavailable
-        )
-
-    def _on_store_restored(self) -> None:
-        """Tell the linked daemons what the restored store has lost."""
-        for entry in self._links.linked_entries():
-            self._send_overrides(entry.name)
+    # Links
 
     def _on_link_up(self, entry: ingress.EntryVm) -> None:
         self._gateway.post(events.LinkUp(entry))
-        self._send_overrides(entry.name)
+        self._following.on_link_up(entry)
 
     def _on_link_down(self, vm: str, incarnation: str) -> None:
-        self._watchers.remove(vm)
+        self._following.on_link_down(vm)
         self._gateway.post(events.LinkDown(vm, incarnation))
 
-    def _is_following(self) -> bool:
-        """Return whether this daemon follows the store for its failure domain."""
-        return self._watchers.is_first(self._links.linked_entries())
-
-    def _is_covered(self) -> bool:
-        store_copy = self._store_copy
-        is_covered = not self._is_following() and self._watchers.is_covered(
-            store_copy.era, store_copy.revision, self._loop.now_s()
-        )
-        if is_covered != self._was_covered:
-            self._was_covered = is_covered
-            change = "left to the domain" if is_covered else "done here"
-            LOGGER.info(
-                "following the store is %s",
-                change,
-                extra={"era": store_copy.era, "revision": store_copy.revision},
-            )
-        return is_covered
-
-    def _report_position(self) -> None:
-        """Report this daemon's position to those for which it follows the store."""
-        age_s = self._follower.age_s
-        if age_s > store_watchers.MAX_AGE_S or not self._is_following():
-            return
-        position = store_watchers.StorePosition(
-            self._store_copy.era,
-            self._store_copy.revision,
-            age_s,
-            self._follower.is_settled,
-        )
-        self._send_to_domain(position)
-
-    def _hand_on(self, era: int, revision: int) -> None:
-        """Hand on the changes that the store has told since a revision.
-
-        In a new era the other daemons read all keys themselves.
-        """
-        if era != self._store_copy.era or not self._is_following():
-            return
-        changes = self._store_copy.changes_since(revision, era)
-        if changes.updates:
-            is_settled = self._follower.is_settled
-            self._send_to_domain(
-                link_codec.StoreChanges(changes, is_settled, since=revision)
-            )
-
-    def _send_to_domain(self, message: link_codec.Message) -> None:
-        for entry in self._watchers.domain_peers(self._links.linked_entries()):
-            self._links.send(entry.name, message)
-
-    def _on_position(self, vm: str, position: store_watchers.StorePosition) -> None:
-        now_s = self._loop.now_s()
-        self._watchers.record(vm, position, now_s)
-        store_copy = self._store_copy
-        if vm in self._watchers.ahead(store_copy.era, store_copy.revision, now_s):
-            self._ask_for_changes(vm)
-        is_settled = self._is_settled()
-        if is_settled and not self._was_settled:
-            self._on_settled()
-        self._was_settled = is_settled
-
-    def _send_overrides(self, vm: str) -> None:
-        overrides = self._store_copy.overrides()
-        if overrides.updates:
-            # What is missing besides is not known to be settled.
-            self._links.send(vm, link_codec.StoreChanges(overrides, is_settled=False))
-
-    def _is_settled(self) -> bool:
-        peer_report_age_s = self._loop.now_s() - self._peer_settled_at_s
-        if peer_report_age_s < PEER_SETTLED_VALID_S:
-            return True
-        return self._follower.is_settled and self._watchers.is_settled(
-            self._loop.now_s()
-        )
-
-    def _request_changes(self) -> None:
-        """Request the store changes from one peer while the store is unreachable."""
-        if not self._follower.health.is_unavailable:
-            return
-        linked_entries = self._links.linked_entries()
-        if linked_entries:
-            entry = self._node.state.random_state.choice(linked_entries)
-            self._ask_for_changes(entry.name)
-
-    def _ask_for_changes(self, vm: str) -> None:
-        store_copy = self._store_copy
-        request = link_codec.ChangesRequest(store_copy.revision, store_copy.era)
-        self._links.send(vm, request)
-
     def _on_message(self, vm: str, message: link_codec.Message) -> None:
-        if isinstance(message, link_codec.ChangesRequest):
-            changes = self._store_copy.changes_since(message.revision, message.era or 0)
-            is_settled = self._follower.is_settled
-            has_era = message.era is not None
-            reply = link_codec.StoreChanges(
-                changes, is_settled, has_era, message.revision
-            )
-            self._links.send(vm, reply)
-        elif isinstance(message, link_codec.StoreChanges):
-            self._on_peer_changes(vm, message)
-        elif isinstance(message, store_watchers.StorePosition):
-            self._on_position(vm, message)
-        elif isinstance(message, load_messages.LoadMessage):
+        if isinstance(message, load_messages.LoadMessage):
             self._gateway.post(events.PeerSaid(vm, message))
-
-    def _on_peer_changes(self, vm: str, message: link_codec.StoreChanges) -> None:
-        changes = message.changes
-        if not changes.is_full and message.since > self._store_copy.revision:
-            self._ask_for_changes(vm)
-            return
-        if not message.has_era:
-            changes = attrs.evolve(changes, era=self._store_copy.era)
-        if message.is_settled and changes.era >= self._store_copy.era:
-            self._peer_settled_at_s = self._loop.now_s()
-        # Of an era that this daemon does not know yet, it asks for all keys itself.
-        if changes.is_full or changes.era <= self._store_copy.era:
-            self._store_copy.apply(changes)
+        elif isinstance(message, store_following.Message):
+            self._following.on_message(vm, message)
 
     def _send_peer_message(self, vm: str, message: load_messages.LoadMessage) -> None:
         self._links.send(vm, message)
@@ -402,7 +239,7 @@
         LOGGER.info("stopping", extra={"open": self._gateway.n_open_requests})
         self._stopping_since_s = self._loop.now_s()
         self._gateway.post(events.StopAsked())
-        self._registration.revoke()
+        self._following.revoke()
         # Without links the peers forward no further requests to this daemon.
         self._links.close()
         for listener in self._ports[:2]:
