Soak: recovery counts from when the last fault was really reverted

The check now starts 4 s after the last revert has ended, and the run is prolonged by the delay, so that as many requests are checked; the fraction is as before.

--- a/packages/soak/bilberryridge/soak/running.py
+++ b/packages/soak/bilberryridge/soak/running.py
@@ -85,13 +85,14 @@
     for thread in threads:
         thread.start()
     steps = schedules.draw(seed, length_s, n_steps)
-    broken = _run_steps(deployment, checker, steps, began_s, length_s)
+    broken, late_s = _run_steps(deployment, checker, steps, began_s, length_s)
     stop_event.set()
     for thread in threads:
         thread.join()
     end_s = max((step.at_s + step.duration_s for step in steps), default=0.0)
     broken += checker.check_now(deployment.runs())
-    broken += checker.check_recovery(end_s + RECOVERY_S, MIN_RECOVERED_FRACTION)
+    since_s = end_s + late_s + RECOVERY_S
+    broken += checker.check_recovery(since_s, MIN_RECOVERED_FRACTION)
     broken += deployment.problems()
     answers = checker.answers()
     n_served = sum(a.status == 200 and a.is_complete for a in answers)
@@ -104,25 +105,33 @@
     steps: list[schedules.Step],
     began_s: float,
     length_s: float,
-) -> list[str]:
+) -> tuple[list[str], float]:
+    """Run the steps; return what was broken and how late the last fault was reverted.
+
+    A revert may wait, such as for a planned stop, and then restarts a daemon later than
+    planned. The run is prolonged by that time.
+    """
+    planned_end_s = max((step.at_s + step.duration_s for step in steps), default=0.0)
+    late_s = 0.0
     waiting = list(steps)
     reverts: list[tuple[float, Callable[[], None]]] = []
     broken: list[str] = []
     next_check_s = CHECK_INTERVAL_S
-    while (now_s := time.monotonic() - began_s) < length_s:
+    while (now_s := time.monotonic() - began_s) < length_s + late_s:
         while waiting and waiting[0].at_s <= now_s:
             step = waiting.pop(0)
             reverts.append((step.at_s + step.duration_s, deployment.begin(step)))
         for due in [due for due in reverts if due[0] <= now_s]:
             reverts.remove(due)
             due[1]()
+            late_s = max(0.0, time.monotonic() - began_s - planned_end_s)
         if now_s >= next_check_s:
             next_check_s += CHECK_INTERVAL_S
             broken += checker.check_now(deployment.runs())
         time.sleep(0.02)
     for _, revert in reverts:
         revert()
-    return broken
+    return broken, late_s
 
 
 def _send_requests(
