--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -199,12 +199,14 @@
         self._gateway.post(events.LinkDown(vm, incarnation))
 
     def _on_message(self, vm: str, message: link_codec.Message) -> None:
-        if isinstance(message, load_messages.LoadMessage):
+        if isinstance(message, load_messages.DaemonLoads | load_messages.RegionLoads):
             self._gateway.post(events.PeerSaid(vm, message))
         elif isinstance(message, store_following.Message):
             self._following.on_message(vm, message)
 
-    def _send_peer_message(self, vm: str, message: load_messages.LoadMessage) -> None:
+    def _send_peer_message(
+        self, vm: str, message: load_messages.DaemonLoads | load_messages.RegionLoads
+    ) -> None:
         self._links.send(vm, message)
 
     # Time and signals
--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -127,7 +127,7 @@
     """Send a message to another daemon over its link."""
 
     vm: str
-    message: load_messages.LoadMessage
+    message: load_messages.DaemonLoads | load_messages.RegionLoads
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -184,7 +184,7 @@
     """Another daemon reported loads."""
 
     vm: str
-    message: load_messages.LoadMessage
+    message: load_messages.DaemonLoads | load_messages.RegionLoads
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -1,13 +1,10 @@
 """Handlers of links and load reports between daemons."""
 
-from collections.abc import Iterable
-
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
     effects,
     estimates,
     events,
-    load_gathering,
     load_messages,
     prefill_load,
     server_table,
@@ -34,30 +31,7 @@
         if event.message.region != st.cfg.local_entry.region:
             st.regions.update(event.message, now_s)
         return
-    sender = st.members.linked_entry(event.vm)
-    if isinstance(event.message, load_messages.GatheredLoads):
-        if sender is not None:
-            _apply_gathered(st, sender, event.message, now_s)
-        return
     st.servers.update_share(event.vm, event.message.by_server, now_s)
-    if sender is not None:
-        st.gathering.record_direct(sender, event.message, st.loads_plan, now_s)
-
-
-def _apply_gathered(
-    st: state.State,
-    sender: ingress.EntryVm,
-    message: load_messages.GatheredLoads,
-    now_s: float,
-) -> None:
-    """Apply the loads of those daemons whose links show that they are running."""
-    loads_by_entry = []
-    for vm, report in message.by_vm.items():
-        entry = st.members.linked_entry(vm)
-        if entry is not None and entry.incarnation == report.incarnation:
-            st.servers.update_share(vm, report.loads.by_server, now_s)
-            loads_by_entry.append((entry, report.loads))
-    st.gathering.record_gathered(sender, loads_by_entry, st.loads_plan, now_s)
 
 
 def on_link_up(st: state.State, now_s: float, event: events.LinkUp) -> None:
@@ -77,7 +51,6 @@
     if not st.members.link_down(event.vm, event.incarnation, now_s):
         return
     st.servers.remove_peer(event.vm)
-    st.gathering.remove(event.vm)
     st.emit(effects.LogStateChange("peer", f"{event.vm} is not linked"))
 
 
@@ -87,13 +60,10 @@
     if now_s - st.daemon_loads_reported_s >= st.daemon_loads_interval_s:
         local_peers = [e for e in st.members.linked() if e.region == local_region]
         st.daemon_loads_reported_s = now_s
+        st.daemon_loads_interval_s = max(
+            DAEMON_LOADS_INTERVAL_S, len(local_peers) / MAX_DAEMON_LOADS_PER_S
+        )
         _send_daemon_loads(st, local_peers, now_s)
-        if st.loads_plan.target:
-            st.daemon_loads_interval_s = load_gathering.GATHERED_INTERVAL_S
-        else:
-            st.daemon_loads_interval_s = max(
-                DAEMON_LOADS_INTERVAL_S, len(local_peers) / MAX_DAEMON_LOADS_PER_S
-            )
     if now_s - st.region_loads_reported_s >= REGION_LOADS_INTERVAL_S:
         st.region_loads_reported_s = now_s
         remote_peers = [e for e in st.members.linked() if e.region != local_region]
@@ -103,32 +73,11 @@
 def _send_daemon_loads(
     st: state.State, local_peers: list[ingress.EntryVm], now_s: float
 ) -> None:
-    before, plan = st.loads_plan, st.gathering.plan(local_peers, now_s)
-    st.loads_plan = plan
-    if plan.target != before.target:
-        # What the daemon before was told last may not have been handed on.
-        st.servers.forget_reported()
-        log_fields = {"before": before.target, "is_here": plan.is_gathering}
-        change = f"loads are gathered by {plan.target or 'none'}"
-        st.emit(effects.LogStateChange("loads", change, log_fields))
     shares = st.servers.changed_shares(now_s)
-    if shares:
-        _send_to_all(
-            st, plan.direct, load_messages.DaemonLoads(shares, bool(plan.target))
-        )
-    if plan.is_gathering:
-        for_domain, for_gatherers = st.gathering.take(shares, now_s)
-        if for_domain is not None and for_gatherers is not None:
-            _send_to_all(st, plan.domain, for_domain)
-            _send_to_all(st, plan.gatherers, for_gatherers)
-
-
-def _send_to_all(
-    st: state.State,
-    recipients: Iterable[ingress.EntryVm],
-    message: load_messages.LoadMessage,
-) -> None:
-    for entry in recipients:
+    if not shares:
+        return
+    message = load_messages.DaemonLoads(shares)
+    for entry in local_peers:
         st.emit(effects.SendPeerMessage(entry.name, message))
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -42,34 +42,9 @@
     ----------
     by_server : dict of str to ServerShare
         Only servers whose share has changed since the last message.
-    is_covered : bool
-        Whether a gathering daemon hands other daemons' loads on to the sender.
     """
 
     by_server: dict[str, ServerShare]
-    is_covered: bool = False
-
-
-@attrs.frozen
-class DaemonReport:
-    """Loads of a daemon that another one hands on.
-
-    Parameters
-    ----------
-    incarnation : str
-        Of the daemon that reported them.
-    loads : DaemonLoads
-    """
-
-    incarnation: str
-    loads: DaemonLoads
-
-
-@attrs.frozen
-class GatheredLoads:
-    """The loads of several daemons of a region, by VM."""
-
-    by_vm: dict[str, DaemonReport]
 
 
 @attrs.frozen
@@ -112,6 +87,3 @@
 
     region: str
     by_service: dict[str, ServiceLoad]
-
-
-LoadMessage = DaemonLoads | GatheredLoads | RegionLoads
--- a/packages/decisions/bilberryridge/decisions/ingress/members.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/members.py
@@ -118,11 +118,6 @@
         """Return the daemons with an open link."""
         return [m.entry for m in self._by_name.values() if m.is_linked]
 
-    def linked_entry(self, name: str) -> ingress.EntryVm | None:
-        """Return the daemon of a name if a link to it is open."""
-        member = self._by_name.get(name)
-        return member.entry if member is not None and member.is_linked else None
-
     def index_in_region(self, now_s: float) -> tuple[int, int]:
         """Return this daemon's index among those of its region, and their number."""
         region = self.local_entry.region
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -57,8 +57,8 @@
     work : OpenWork
     new_parts : list of (str, int)
         Prompt parts sent there since the last report, with their token counts.
-    last_reported : ServerShare or None
-        This daemon's share as last reported to other daemons; None to report it anew.
+    last_reported : ServerShare
+        This daemon's share as last reported to other daemons.
     urgent_slowdown, other_slowdown : float
         Measured time to the first token relative to the estimate, for urgent and for
         other requests.
@@ -77,7 +77,7 @@
     warm_up_gate: warm_up.WarmUpGate = attrs.field(factory=warm_up.WarmUpGate)
     work: open_work.OpenWork = attrs.field(factory=open_work.OpenWork)
     new_parts: list[tuple[str, int]] = attrs.field(factory=list)
-    last_reported: load_messages.ServerShare | None = attrs.field(
+    last_reported: load_messages.ServerShare = attrs.field(
         factory=load_messages.ServerShare
     )
     urgent_slowdown: float = 1.0
@@ -296,11 +296,6 @@
             server.last_reported = attrs.evolve(share, parts=())
         return changed
 
-    def forget_reported(self) -> None:
-        """Report all of this daemon's shares anew."""
-        for server in self.by_id.values():
-            server.last_reported = None
-
     def all_shares(self, now_s: float) -> dict[str, load_messages.ServerShare]:
         """Return all of this daemon's shares, for a newly linked daemon."""
         return {
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -9,7 +9,6 @@
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
     effects,
-    load_gathering,
     members,
     regions,
     retry_budget,
@@ -156,8 +155,6 @@
         self.stopping_s: float | None = None
         self.daemon_loads_reported_s = float("-inf")
         self.daemon_loads_interval_s = 0.0
-        self.gathering = load_gathering.LoadGathering(cfg.local_entry)
-        self.loads_plan = load_gathering.Plan(())
         self.region_loads_reported_s = float("-inf")
         self.region_report_turn = 0
         self.effects: list[effects.Effect] = []
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -70,7 +70,6 @@
     | store_watchers.StorePosition
     | ChangesRequest
     | load_messages.DaemonLoads
-    | load_messages.GatheredLoads
     | load_messages.RegionLoads
     | StoreChanges
 )
@@ -122,7 +121,7 @@
         ]
         for server_id, share in message.by_server.items()
     }
-    return [fields_by_server, message.is_covered]
+    return [fields_by_server]
 
 
 def _unpack_daemon_loads(fields: list[Any]) -> load_messages.DaemonLoads:
@@ -133,28 +132,7 @@
         by_server[str(server_id)] = load_messages.ServerShare(
             n_open, n_pending, n_urgent, n_memory, parts, float(share[5]), int(share[6])
         )
-    # Daemons of older builds are not covered and don't say so.
-    return load_messages.DaemonLoads(by_server, bool(fields[1:] and fields[1]))
-
-
-def _pack_gathered(message: load_messages.GatheredLoads) -> list[Any]:
-    return [
-        {
-            vm: [report.incarnation, _pack_daemon_loads(report.loads)[0]]
-            for vm, report in message.by_vm.items()
-        }
-    ]
-
-
-def _unpack_gathered(fields: list[Any]) -> load_messages.GatheredLoads:
-    return load_messages.GatheredLoads(
-        {
-            str(vm): load_messages.DaemonReport(
-                str(incarnation), _unpack_daemon_loads([by_server])
-            )
-            for vm, (incarnation, by_server) in fields[0].items()
-        }
-    )
+    return load_messages.DaemonLoads(by_server)
 
 
 def _pack_region_loads(message: load_messages.RegionLoads) -> list[Any]:
@@ -250,7 +228,6 @@
     Hello: ("hello", lambda message: attrs.astuple(message.entry)),
     ChangesRequest: ("want", lambda message: [message.revision, message.era]),
     load_messages.DaemonLoads: ("domain", _pack_daemon_loads),
-    load_messages.GatheredLoads: ("gathered", _pack_gathered),
     load_messages.RegionLoads: ("region", _pack_region_loads),
     StoreChanges: ("changes", _pack_changes),
     store_watchers.StorePosition: (
@@ -267,7 +244,6 @@
     "hello": _unpack_hello,
     "want": _unpack_changes_request,
     "domain": _unpack_daemon_loads,
-    "gathered": _unpack_gathered,
     "region": _unpack_region_loads,
     "changes": _unpack_changes,
     "position": _unpack_position,
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -30,7 +30,9 @@
 LOGGER = logging.getLogger("bilberryridge")
 MAX_LOGGED_ID_CHARS = 80
 
-SendPeerMessage = Callable[[str, load_messages.LoadMessage], Any]
+SendPeerMessage = Callable[
+    [str, load_messages.DaemonLoads | load_messages.RegionLoads], Any
+]
 """Sends a message to the daemon on a VM, given its name."""
 
 
