Log of attempts: how the end of an answer showed, and bytes after the last whole event

'attempt ended' says so now (end_marked, incomplete_bytes); nothing else changes. The rule for what marks the end of a body stood in the own interface's head parser; both interfaces use one function.

--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -140,6 +140,10 @@
         Why there was no complete answer, for the log.
     is_over_bound : bool
         Whether more was sent than any answer to the request can have.
+    is_end_marked : bool
+        False if only the end of the connection showed that of the answer.
+    n_incomplete_bytes : int
+        Bytes of a stream after its last complete event.
     """
 
     request_id: str
@@ -155,6 +159,8 @@
     n_events: int = 0
     detail: str = ""
     is_over_bound: bool = False
+    is_end_marked: bool = True
+    n_incomplete_bytes: int = 0
 
 
 @attrs.frozen
--- a/packages/transport/bilberryridge/transport/answers.py
+++ b/packages/transport/bilberryridge/transport/answers.py
@@ -48,12 +48,34 @@
         """Value of a field; empty if there is none."""
         return headers.find(self.fields, name)
 
-    def has_framing(self, method: str) -> bool:
-        """Whether the end of the body is distinguishable from a lost connection."""
-        if method == "HEAD" or self.status in BODILESS_STATUSES:
-            return True
-        is_chunked = self.find("transfer-encoding").lower().endswith("chunked")
-        return is_chunked or bool(self.find("content-length"))
+
+def is_end_marked(method: str, status: int, fields: headers.Fields) -> bool:
+    """Return whether the end of the body is told from a lost connection.
+
+    Parameters
+    ----------
+    method : str
+        Of the request.
+    status : int
+    fields : tuple of (str, str)
+        Of the answer.
+
+    References
+    ----------
+    RFC 9112, HTTP/1.1, section 6.3.
+
+    Examples
+    --------
+    >>> is_end_marked("GET", 200, (("Content-Length", "3"),))
+    True
+    >>> is_end_marked("GET", 200, (("Connection", "close"),))
+    False
+    """
+    if method == "HEAD" or status in BODILESS_STATUSES:
+        return True
+    if headers.find(fields, "transfer-encoding").lower().endswith("chunked"):
+        return True
+    return bool(headers.find(fields, "content-length"))
 
 
 def retry_after_s(text: str) -> float | None:
--- a/packages/transport/bilberryridge/transport/attempt.py
+++ b/packages/transport/bilberryridge/transport/attempt.py
@@ -196,8 +196,8 @@
         if self._stream is not None:
             is_complete = self._stream.is_ended
         else:
-            is_complete = errno == 0 and self._head.has_framing(
-                self._outgoing_req.method
+            is_complete = errno == 0 and answers.is_end_marked(
+                self._outgoing_req.method, self._head.status, self._head.fields
             )
         if errno == pycurl.E_OPERATION_TIMEDOUT and not is_complete:
             self._is_timed_out = True
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -99,6 +99,7 @@
         self._n_events = 0
         self._has_ended = False
         self._is_over_bound = False
+        self._is_end_marked = True
         self._timer: timers.Timer | None = None
         self._set_timer(first_byte_timeout_s)
 
@@ -158,10 +159,11 @@
             self._n_events += complete.n_events
             self._owner.on_events(self, complete.data, complete.last_id)
 
-    def on_end(self) -> None:
+    def on_end(self, is_end_marked: bool) -> None:
         """See `upstream.Sink`."""
         if self._has_ended:
             return
+        self._is_end_marked = is_end_marked
         incomplete = self._splitter.incomplete
         if self.is_passed_through and incomplete:
             # The HTTP message is complete, so the last bytes belong to the answer.
@@ -216,6 +218,8 @@
             n_events=self._n_events,
             detail=detail,
             is_over_bound=self._is_over_bound,
+            is_end_marked=self._is_end_marked,
+            n_incomplete_bytes=len(self._splitter.incomplete),
         )
         self._owner.on_ended(self, ended)
 
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -273,6 +273,10 @@
             log_fields["load"] = list(attrs.astuple(event.load))
         if event.detail:
             log_fields["detail"] = event.detail
+        if not event.is_end_marked:
+            log_fields["end_marked"] = False
+        if event.n_incomplete_bytes:
+            log_fields["incomplete_bytes"] = event.n_incomplete_bytes
         if event.is_over_bound:
             self._counters.count("ingress_answers_over_bound")
         self._log("attempt ended", event.request_id, log_fields)
--- a/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
@@ -42,7 +42,7 @@
     def on_body(self, data):
         self.pieces.append(data)
 
-    def on_end(self):
+    def on_end(self, is_end_marked):
         self.is_complete = True
 
     def on_failed(self, failure, detail):
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -16,7 +16,7 @@
 
 import h11
 
-from bilberryridge.transport import headers
+from bilberryridge.transport import answers, headers
 from bilberryridge.transport.ingress import event_loop
 from bilberryridge.utilities import addresses
 
@@ -63,8 +63,15 @@
     def on_body(self, data: bytes) -> None:
         """Receive a part of the body."""
 
-    def on_end(self) -> None:
-        """The answer is complete."""
+    def on_end(self, is_end_marked: bool) -> None:
+        """The answer has ended.
+
+        Parameters
+        ----------
+        is_end_marked : bool
+            False if the end of the connection is all that shows the end, which may be
+            that of a server that broke the answer off.
+        """
 
     def on_failed(self, failure: Failure, detail: str) -> None:
         """The request failed without a complete answer."""
@@ -115,6 +122,7 @@
         self._n_skipped_bytes = 0
         self._n_informational = 0
         self._is_skipping = False
+        self._is_end_marked = True
         self._is_parsing_later = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._connect_timer = loop.after(CONNECT_TIMEOUT_S, self._on_connect_timeout)
@@ -337,6 +345,9 @@
                 self._fail(Failure.OVER_BOUND, "too many answers to other requests")
             return
         self._update_idle_limit(fields)
+        assert self._request is not None
+        method = self._request.method.decode("latin-1")
+        self._is_end_marked = answers.is_end_marked(method, event.status_code, fields)
         self._sink.on_head(event.status_code, fields)
 
     def _update_idle_limit(self, fields: headers.Fields) -> None:
@@ -363,7 +374,7 @@
             self._owner.on_idle(self)
         else:
             self.close()
-        sink.on_end()
+        sink.on_end(self._is_end_marked)
 
     def _skip_answer(self) -> None:
         """Continue with the next answer: the last belonged to another request."""
