Streams: the last event id counts when several events are read at once

Callers of a stream that was lost and resumed got events twice, if the last read before the loss held more than one event. Cause: the id was searched from the start of each event in the buffer, where the pattern's '^' does not match, so that only the id of the first event of a read was seen; the resume then began after that one. Class: a position in a buffer taken for the start of a text. Evidence: events 1 to 3 in one read, then a cut: the resumed answer was 1 2 3 2 3 4 5 6. Before: test_events_read_at_once_do_not_hide_the_last_id fails in all 3 cases ('1' for '2'), and test_any_pieces_give_the_events_of_one_piece with the events added to its strategy; its random texts had one id only. Change: ids are searched once in all complete events that were read.

--- a/packages/transport/bilberryridge/transport/ingress/event_stream.py
+++ b/packages/transport/bilberryridge/transport/ingress/event_stream.py
@@ -67,17 +67,11 @@
         search_from = max(0, len(self._held) - _MAX_END_BYTES + 1)
         self._held += data
         received = self._held
-        end = 0
-        last_id = ""
-        n_events = 0
-        for match in _END.finditer(received, search_from):
-            ids = _ID.findall(received, end, match.end())
-            if ids:
-                last_id = ids[-1].decode("latin-1")
-            end = match.end()
-            n_events += 1
-        complete = bytes(received[:end])
-        del received[:end]
+        ends = [match.end() for match in _END.finditer(received, search_from)]
+        complete = bytes(received[: ends[-1]]) if ends else b""
+        del received[: len(complete)]
         if len(received) > answer_bounds.MAX_EVENT_BYTES:
             raise errors.AnswerBoundError(f"{len(received)} bytes without an event")
-        return Events(complete, last_id, n_events)
+        ids = _ID.findall(complete)
+        last_id = ids[-1].decode("latin-1") if ids else ""
+        return Events(complete, last_id, len(ends))
--- a/packages/transport/bilberryridge/transport/ingress/tests/test_event_stream.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_event_stream.py
@@ -38,7 +38,18 @@
     return data, ids[-1:], n_events, splitter.incomplete
 
 
-@hypothesis.given(TEXTS, strategies.lists(strategies.integers(0, 200), max_size=8))
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from([b"id: 1\n", b"id: 2\n", b"id: 3\n", b""]),
+        strategies.sampled_from([b"data: a\n", b"data: id: 9\n", b":c\n"]),
+    ),
+    max_size=8,
+).map(lambda events: b"".join(first + second + b"\n" for first, second in events))
+
+
+@hypothesis.given(
+    TEXTS | EVENTS, strategies.lists(strategies.integers(0, 200), max_size=8)
+)
 def test_any_pieces_give_the_events_of_one_piece(text, cuts):
     bounds = [0, *sorted(min(cut, len(text)) for cut in cuts), len(text)]
     pieces = [text[a:b] for a, b in itertools.pairwise(bounds)]
@@ -48,6 +59,14 @@
     assert whole[0] + whole[3] == text
 
 
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_events_read_at_once_do_not_hide_the_last_id(line_end):
+    text = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: c\n\nid: 3"
+    splitter = event_stream.EventSplitter()
+    events = splitter.feed(text.replace(b"\n", line_end))
+    assert (events.last_id, events.n_events) == ("2", 3)
+
+
 @pytest.mark.parametrize("n_piece_bytes", [1, 100, 64 << 10])
 def test_bytes_without_an_event_are_refused_within_the_bound(n_piece_bytes):
     splitter = event_stream.EventSplitter()
