Ingress: a stream that ends within an event has been broken off

What callers saw: an answer that an engine had broken off came as a 200 framed as complete, its last event cut; a resumable stream was not resumed. Cause: the end of the HTTP message was taken for the end of the stream. An answer with neither a length nor chunks ends with its connection, also when the server has broken it off; the bytes held back after the last whole event were then passed on and the answer was ended properly. Class: an end of transport taken for an end of content. Change: an attempt whose stream ends within an event, however it is framed, is lost, and so is one without any event whose end nothing marks. What is held back never reaches the caller, so a resumable stream goes on at another engine after the last whole event, and any other answer is cut. A stream that ends after a whole event is complete as before, with or without framing.

--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -164,12 +164,21 @@
         if self._has_ended:
             return
         self._is_end_marked = is_end_marked
-        incomplete = self._splitter.incomplete
-        if self.is_passed_through and incomplete:
-            # The HTTP message is complete, so the last bytes belong to the answer.
-            self._owner.on_events(self, incomplete, "")
         assert self.head is not None
-        self._report(_RESULT_BY_KIND[self.head.kind])
+        if not self.is_passed_through:
+            self._report(_RESULT_BY_KIND[self.head.kind])
+        elif self._splitter.is_inside_event:
+            self._report(events.AttemptResult.LOST, "ended within an event")
+        elif not is_end_marked and self._n_events == 0:
+            self._report(events.AttemptResult.LOST, "ended before the first event")
+        else:
+            self._finish_stream()
+
+    def _finish_stream(self) -> None:
+        blank_lines = self._splitter.incomplete
+        if blank_lines:
+            self._owner.on_events(self, blank_lines, "")
+        self._report(events.AttemptResult.ANSWERED)
 
     def on_failed(self, failure: upstream.Failure, detail: str) -> None:
         """See `upstream.Sink`."""
--- a/packages/transport/bilberryridge/transport/ingress/event_stream.py
+++ b/packages/transport/bilberryridge/transport/ingress/event_stream.py
@@ -45,6 +45,8 @@
     Events(data=b'id: 1\\ndata: a\\n\\n', last_id='1', n_events=1)
     >>> splitter.incomplete
     b'id: 2\\nda'
+    >>> splitter.is_inside_event
+    True
     """
 
     def __init__(self) -> None:
@@ -55,6 +57,11 @@
         """Bytes held back."""
         return bytes(self._held)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun that isn't complete; blank lines begin none."""
+        return bool(self._held.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> Events:
         """Append bytes; return the events that are now complete.
 
