Callers' connections: an aborted answer whose end nothing marks is reset

What callers would see: a stream that the daemon aborts, or that ends with a killed daemon, is complete to a caller of HTTP/1.0, which is sent neither a length nor chunks: the close in order is the end of its answer. Cause: abort() relied on framing to show that the answer was not ended. Change: while such an answer is open its socket resets when it is closed, by whom ever, the kernel included; the normal end takes that back first. Relays speak HTTP/1.1 and are sent chunks.

--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -4,9 +4,11 @@
 and `Connection.is_full` asks the source of the answer to pause.
 """
 
+import contextlib
 import enum
 import selectors
 import socket
+import struct
 import time
 
 import h11
@@ -30,6 +32,9 @@
 LINGER_S = 1.0
 MAX_PIPELINED_BYTES = 65_536
 CHUNKED = b"\r\ntransfer-encoding: chunked\r\n"
+LENGTH = b"\r\ncontent-length: "
+RESET_ON_CLOSE, CLOSE_IN_ORDER = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
+"""Values of SO_LINGER."""
 
 
 class Phase(enum.Enum):
@@ -95,6 +100,8 @@
         self._is_stopping = False
         self._is_answer_finished = False
         self._is_chunked = False
+        self._is_end_marked = True
+        self._is_aborted = False
         selector.register(sock, selectors.EVENT_READ, self)
         self._set_timer(cfg.head_deadline_s, self.close)
 
@@ -125,6 +132,10 @@
         )
         head = self._http.send(answer) or b""
         self._is_chunked = CHUNKED in head.lower()
+        self._is_end_marked = self._is_chunked or LENGTH in head.lower()
+        if not self._is_end_marked:
+            # An orderly close would end the answer, also if this process is killed.
+            self._set_linger(RESET_ON_CLOSE)
         self._write(head)
 
     def send(self, data: bytes) -> None:
@@ -145,6 +156,7 @@
     def abort(self) -> None:
         """Close without ending the answer, after the buffered output is sent."""
         self._http.send_failed()
+        self._is_aborted = True
         self._is_answer_finished = True
         if not self._output:
             self._finish_cycle()
@@ -255,6 +267,9 @@
     def _finish_cycle(self) -> None:
         """After an answer, start the next request or close."""
         self._is_answer_finished = False
+        if not self._is_end_marked:
+            self._end_with_connection()
+            return
         states = {self._http.our_state, self._http.their_state}
         if self._is_stopping or states != {h11.DONE}:
             self._linger()
@@ -268,6 +283,19 @@
             self._set_timer(self._cfg.head_deadline_s, self._on_receive_timeout)
             self._advance()
 
+    def _end_with_connection(self) -> None:
+        """End an answer whose end only that of the connection shows."""
+        if self._is_aborted:
+            self.close()
+            return
+        self._set_linger(CLOSE_IN_ORDER)
+        self._linger()
+
+    def _set_linger(self, option: bytes) -> None:
+        # A broken socket is noticed at the next write.
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def _linger(self) -> None:
         """Discard input for a moment before closing.
 
--- a/packages/transport/bilberryridge/transport/tests/test_edge.py
+++ b/packages/transport/bilberryridge/transport/tests/test_edge.py
@@ -329,3 +329,25 @@
     assert answer.body.count(b"event: error") == 1
     assert answer.body.count(request_id.encode()) == 1
     assert not answer.is_whole
+
+
+def read_to_end(sock):
+    while sock.recv(65_536):
+        pass
+
+
+def test_aborted_answer_without_chunks_is_reset():
+    def script(turn):
+        turn.send(STREAM_HEAD + delta("a"))
+        turn.close()
+
+    body = rig.chat_body()
+    head = f"POST /v1/chat/completions HTTP/1.0\r\nContent-Length: {len(body)}\r\n"
+    with (
+        scripted_backend.open_backend(script) as backend,
+        rig.open_rig(rig.Node(backend.address)) as running,
+    ):
+        caller = running.caller()
+        caller.send_raw(f"{head}Host: a\r\n\r\n".encode() + body)
+        with pytest.raises(ConnectionResetError):
+            read_to_end(caller.sock)
