Log of sends: the ids of the shared prompt parts

The logs of second1 showed which attempt an engine had just begun when it ended, but not its prompt, so that a part common to these could not be seen. 'send to server' names the first eight shared parts. That the last part is not shared is a property of the prompt now; it stood in three places. Nothing else changes.

--- a/packages/core/bilberryridge/core/ingress.py
+++ b/packages/core/bilberryridge/core/ingress.py
@@ -259,6 +259,11 @@
     n_tokens: int
 
 
+N_UNSHARED_PARTS = 1
+"""Number of last prompt parts that no other request shares; all parts before are
+shared."""
+
+
 @attrs.frozen
 class Prompt:
     """Properties of a model request that are known without reading its body.
@@ -279,9 +284,14 @@
     @property
     def n_unshared_tokens(self) -> int:
         """Number of tokens that are not part of a shared prompt part."""
-        n_shared = sum(part.n_tokens for part in self.parts[:-1])
+        n_shared = sum(part.n_tokens for part in self.shared_parts)
         return max(0, self.n_tokens - n_shared)
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have in common."""
+        return self.parts[:-N_UNSHARED_PARTS]
+
 
 @attrs.frozen
 class Request:
--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -23,9 +23,6 @@
 can be fetched."""
 FAILURE_WEIGHT = 1.5
 """Cost of a certain failure, in latency goals: the request would be late or lost."""
-N_UNSHARED_PARTS = 1
-"""Number of last prompt parts that no other request shares; all parts before are
-shared."""
 AFFINITY_FRACTION = 0.8
 """Fraction of the longest acceptable time to the first byte within which the affinity
 order of a shared prompt part is followed."""
@@ -153,7 +150,7 @@
     if not candidates:
         return None
     prompt = item.req.prompt
-    if prompt is not None and len(prompt.parts) > N_UNSHARED_PARTS:
+    if prompt is not None and prompt.shared_parts:
         candidates = _by_affinity(st, item, prompt, candidates)[:MAX_CANDIDATES]
         cached_prefix = _longest_cached_prefix(candidates, prompt, now_s)
         return _first_fast_enough(candidates, item, cached_prefix, now_s)
@@ -167,7 +164,7 @@
     candidates: list[server_table.ServerState], prompt: ingress.Prompt, now_s: float
 ) -> CachedPrefix | None:
     """Return the longest cached prefix among servers that don't fail too often."""
-    shared_parts = prompt.parts[:-N_UNSHARED_PARTS]
+    shared_parts = prompt.shared_parts
     recorded_by_s = now_s - CACHED_AFTER_S
     best = None
     for server in candidates:
@@ -230,7 +227,7 @@
     All daemons of the region use the same order, so that few servers cache the part and
     memory is left for other parts.
     """
-    shared_part = prompt.parts[-1 - N_UNSHARED_PARTS]
+    shared_part = prompt.shared_parts[-1]
     ranks = st.servers.ranks(item.service.name, shared_part.id)
     return sorted(candidates, key=lambda server: ranks[server.record.id])
 
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -1,5 +1,7 @@
 """Emits the effects that send a request to the chosen server or region."""
 
+from typing import Any
+
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import effects, open_work, placement, state
 
@@ -16,6 +18,7 @@
 STALL_TIMEOUT_S = 2.0
 """Longest pause in a stream before it is resumed on another server; callers disconnect
 after 6 s of silence."""
+MAX_LOGGED_PARTS = 8
 
 
 def send_to_server(
@@ -40,7 +43,7 @@
     if server.is_cold(now_s):
         server.warm_up_gate.record_send(now_s)
     total = server.work.sums
-    log_fields = {
+    log_fields: dict[str, Any] = {
         "route": item.route.name,
         "expected_s": round(expected.first_s, 3),
         "unread": expected.n_prefill_tokens,
@@ -51,6 +54,9 @@
         "reading": round(server.prefill.fraction(now_s), 2),
         "fault": round(server.failure_rate(now_s), 2),
     }
+    if prompt is not None:
+        shared_ids = [part.id for part in prompt.shared_parts]
+        log_fields["parts"] = shared_ids[:MAX_LOGGED_PARTS]
     st.emit(
         effects.SendToServer(
             item.req.id,
