Ingress: prompts with a part under which engines crash are held back

What callers saw: questions with one prompt part crashed engine after engine, 13 and 22 in a row; each crash cut the streams of all other callers of that engine, some of them three times. Cause: nothing linked the loss of a server with the prompts that it had just begun to answer, nor the losses of one daemon with those of another. Class: a failure that belongs to the request taken for one of the server, and met by sending to the next. Change: a daemon that loses a server's connections reports the shared prompt parts whose answers had begun less than a second before, without those just seen sound; over the links to all daemons and, for those that start later, to the store under leases of ten minutes. Three crashed servers without a sound answer since put a part in quarantine: a prompt is refused unsent, or called back from the server's queue, if it has the part and all else that these prompts had in common. A crash counts against the part that fewest other prompts of the server had, so the parts that sound prompts share are let through; a sound answer on a part clears it everywhere. Servers lost more than two at once are not reported. A request whose servers ended twice as they began is not sent a third time. Where a store is away, links alone carry the reports. The own interface has no parts of prompts to go by; its attempts are bounded as before.

--- a/packages/core/bilberryridge/core/outcomes.py
+++ b/packages/core/bilberryridge/core/outcomes.py
@@ -47,6 +47,7 @@
     TOO_LARGE = "too-large"
     TOO_SLOW = "too-slow"
     BUSY = "busy"
+    PROMPT_HELD_BACK = "prompt-held-back"
 
 
 STATUS_BY_REASON = {
@@ -72,6 +73,7 @@
     Reason.TOO_LARGE: 413,
     Reason.TOO_SLOW: 408,
     Reason.BUSY: 503,
+    Reason.PROMPT_HELD_BACK: 503,
 }
 
 
--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -21,7 +21,7 @@
     metrics,
     store_following,
 )
-from bilberryridge.decisions.ingress import events, load_messages, node
+from bilberryridge.decisions.ingress import crash_reports, effects, events, node
 from bilberryridge.peers import link_codec, links
 from bilberryridge.transport import settings
 from bilberryridge.transport.ingress import (
@@ -92,6 +92,7 @@
             platform.wire,
             self._node,
             self._send_peer_message,
+            self._store_report,
             counters,
         )
         self._links = links.Links(
@@ -199,16 +200,17 @@
         self._gateway.post(events.LinkDown(vm, incarnation))
 
     def _on_message(self, vm: str, message: link_codec.Message) -> None:
-        if isinstance(message, load_messages.DaemonLoads | load_messages.RegionLoads):
+        if isinstance(message, effects.PeerMessage):
             self._gateway.post(events.PeerSaid(vm, message))
         elif isinstance(message, store_following.Message):
             self._following.on_message(vm, message)
 
-    def _send_peer_message(
-        self, vm: str, message: load_messages.DaemonLoads | load_messages.RegionLoads
-    ) -> None:
+    def _send_peer_message(self, vm: str, message: effects.PeerMessage) -> None:
         self._links.send(vm, message)
 
+    def _store_report(self, report: crash_reports.Report) -> None:
+        self._following.store_report(report)
+
     # Time and signals
 
     def _tick(self) -> None:
--- a/packages/daemon/bilberryridge/daemon/ingress_platform.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_platform.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions.ingress import state
+from bilberryridge.decisions.ingress import crash_reports, state
 from bilberryridge.store import follower, mirror, registration, store_era
 from bilberryridge.transport.ingress import (
     connection_pool,
@@ -70,6 +70,12 @@
     def generation(self, key: str, value: bytes) -> mirror.Generation | None:
         """Return the order of a value by its writer's count; None if it has none."""
 
+    def stored_reports(self, store_copy: mirror.Mirror) -> crash_reports.StoredReports:
+        """Return the daemons' reports on crashes; unreadable ones are skipped."""
+
+    def encode_report(self, report: crash_reports.Report) -> tuple[str, bytes]:
+        """Return the key and the value under which a report is stored."""
+
     def encode_entry(self, entry: ingress.EntryVm) -> bytes:
         """Encode the registration of this daemon."""
 
--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -16,9 +16,15 @@
 from bilberryridge.core import ingress
 from bilberryridge.daemon import ingress_platform
 from bilberryridge.decisions import store_watchers
-from bilberryridge.decisions.ingress import events
+from bilberryridge.decisions.ingress import crash_reports, events
 from bilberryridge.peers import link_codec
-from bilberryridge.store import follower, mirror, registration, store_era
+from bilberryridge.store import (
+    follower,
+    lasting_records,
+    mirror,
+    registration,
+    store_era,
+)
 from bilberryridge.transport.ingress import connection_pool, event_loop
 
 LOGGER = logging.getLogger("bilberryridge")
@@ -100,7 +106,11 @@
             self._is_following,
             self._follower.record_contact,
         )
+        self._records = lasting_records.LastingRecords(
+            platform.writer(loop, pool, eras), loop, eras
+        )
         self._watchers = store_watchers.StoreWatchers(local_entry)
+        self._last_reports: events.CrashReportsRead | None = None
         self._was_settled = False
         self._was_covered = False
         self._peer_settled_at_s = float("-inf")
@@ -116,6 +126,10 @@
         """Remove this daemon's entry, so that no new callers are sent to it."""
         self._registration.revoke()
 
+    def store_report(self, report: crash_reports.Report) -> None:
+        """Write a report to the store, where it outlives this daemon."""
+        self._records.write(*self._decoder.encode_report(report))
+
     def on_link_up(self, entry: ingress.EntryVm) -> None:
         """Tell a newly linked daemon what a restored store has lost."""
         self._send_overrides(entry.name)
@@ -149,6 +163,9 @@
         self._post(events.ServersRead(servers, is_settled))
         entries = decoder.entries(store_copy)
         self._post(events.EntriesRead(entries, is_settled))
+        self._on_reports(
+            events.CrashReportsRead(decoder.stored_reports(store_copy), is_settled)
+        )
         local_entry = self._local_entry
         is_present = any(
             entry.incarnation == local_entry.incarnation for entry in entries
@@ -157,6 +174,11 @@
             is_present or self._follower.health.is_unavailable
         )
 
+    def _on_reports(self, event: events.CrashReportsRead) -> None:
+        if event != self._last_reports:
+            self._last_reports = event
+            self._post(event)
+
     def _is_settled(self) -> bool:
         peer_report_age_s = self._loop.now_s() - self._peer_settled_at_s
         if peer_report_age_s < PEER_SETTLED_VALID_S:
--- a/packages/daemon/bilberryridge/daemon/tests/test_store_following.py
+++ b/packages/daemon/bilberryridge/daemon/tests/test_store_following.py
@@ -7,7 +7,7 @@
 from bilberryridge.core import ingress
 from bilberryridge.daemon import store_following
 from bilberryridge.decisions import store_watchers
-from bilberryridge.decisions.ingress import events
+from bilberryridge.decisions.ingress import crash_reports, events
 from bilberryridge.peers import link_codec
 from bilberryridge.store import mirror
 
@@ -79,6 +79,9 @@
     def evacuated(self, store_copy):
         return frozenset()
 
+    def stored_reports(self, store_copy):
+        return crash_reports.StoredReports()
+
 
 def start():
     """Return a daemon's following, its peers and the versions that came in force."""
--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bilberryridge.core import ingress, outcomes
-from bilberryridge.decisions.ingress import load_messages
+from bilberryridge.decisions.ingress import crash_reports, load_messages
 
 
 @attrs.frozen
@@ -122,12 +122,24 @@
     log_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
 
 
+PeerMessage = (
+    load_messages.DaemonLoads | load_messages.RegionLoads | crash_reports.Report
+)
+
+
 @attrs.frozen
 class SendPeerMessage:
     """Send a message to another daemon over its link."""
 
     vm: str
-    message: load_messages.DaemonLoads | load_messages.RegionLoads
+    message: PeerMessage
+
+
+@attrs.frozen
+class StoreReport:
+    """Write a report to the store, where it outlives this daemon."""
+
+    report: crash_reports.Report
 
 
 @attrs.frozen
@@ -148,5 +160,6 @@
     | Refuse
     | AbortStream
     | SendPeerMessage
+    | StoreReport
     | LogStateChange
 )
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions.ingress import load_messages
+from bilberryridge.decisions.ingress import crash_reports, effects
 
 
 @attrs.frozen
@@ -53,6 +53,14 @@
     is_settled: bool = True
 
 
+@attrs.frozen
+class CrashReportsRead:
+    """All reports on crashes that the store holds were read; see `ServersRead`."""
+
+    stored: crash_reports.StoredReports
+    is_settled: bool = True
+
+
 @attrs.frozen
 class RequestArrived:
     """A complete request was read."""
@@ -140,6 +148,8 @@
         Why there was no complete answer, for the log.
     is_over_bound : bool
         Whether more was sent than any answer to the request can have.
+    is_disconnected : bool
+        Whether the other side closed or reset the connection within the answer.
     is_end_marked : bool
         False if only the end of the connection showed that of the answer.
     n_incomplete_bytes : int
@@ -159,6 +169,7 @@
     n_events: int = 0
     detail: str = ""
     is_over_bound: bool = False
+    is_disconnected: bool = False
     is_end_marked: bool = True
     n_incomplete_bytes: int = 0
 
@@ -187,10 +198,10 @@
 
 @attrs.frozen
 class PeerSaid:
-    """Another daemon reported loads."""
+    """Another daemon sent a message."""
 
     vm: str
-    message: load_messages.DaemonLoads | load_messages.RegionLoads
+    message: effects.PeerMessage
 
 
 @attrs.frozen
@@ -208,6 +219,7 @@
     | ServersRead
     | EntriesRead
     | EvacuationsRead
+    | CrashReportsRead
     | RequestArrived
     | CallerGone
     | AttemptBegan
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -2,6 +2,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    crash_handlers,
     effects,
     estimates,
     events,
@@ -26,12 +27,14 @@
 
 
 def on_peer_said(st: state.State, now_s: float, event: events.PeerSaid) -> None:
-    """Store the loads that another daemon reported."""
+    """Apply the message of another daemon."""
     if isinstance(event.message, load_messages.RegionLoads):
         if event.message.region != st.cfg.local_entry.region:
             st.regions.update(event.message, now_s)
-        return
-    st.servers.update_share(event.vm, event.message.by_server, now_s)
+    elif isinstance(event.message, load_messages.DaemonLoads):
+        st.servers.update_share(event.vm, event.message.by_server, now_s)
+    else:
+        crash_handlers.on_report(st, event.message, now_s)
 
 
 def on_link_up(st: state.State, now_s: float, event: events.LinkUp) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -17,6 +17,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    crash_handlers,
     directory,
     effects,
     events,
@@ -72,6 +73,7 @@
     request_handlers.on_tick(st, now_s)
     st.members.remove_expired(now_s)
     load_handlers.on_tick(st, now_s)
+    crash_handlers.on_tick(st, now_s)
 
 
 _HANDLERS: dict[type, Callable] = {
@@ -79,6 +81,7 @@
     events.ServersRead: _on_servers,
     events.EntriesRead: _on_entries,
     events.EvacuationsRead: _on_evacuations,
+    events.CrashReportsRead: crash_handlers.on_stored_reports,
     events.RequestArrived: request_handlers.on_request_arrived,
     events.CallerGone: request_handlers.on_caller_gone,
     events.AttemptBegan: request_handlers.on_attempt_began,
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
@@ -0,0 +1,225 @@
+"""Prompt parts under which backend servers crash, and which prompts are held back.
+
+A part is in quarantine if several servers have crashed as they began to answer prompts
+with it and no answer on it has gone well since. Prompts with the part share other parts
+with sound ones, so a prompt is held back only if it has all the parts that are common
+to the prompts of these crashes and not known to be sound. A crash counts against one
+part only: that which fewest of the other prompts had.
+"""
+
+import collections
+import math
+
+import attrs
+
+from bilberryridge.decisions.ingress import crash_reports
+
+CRASHES_TO_QUARANTINE = 3
+"""Servers that crashed until a part is in quarantine: two can end for another reason
+while they begin to answer prompts with the same part."""
+REPORT_TTL_S = 600.0
+"""Time after which a report no longer counts; a part is tried again then."""
+MAX_REPORTS = 300
+MAX_SOUND_PARTS = 5_000
+RECENTLY_SOUND_S = 3.0
+"""Time after a sound answer in which a part isn't reported after a crash."""
+
+
+@attrs.define
+class _Received:
+    """A report and when it was received; the revision is 0 if it isn't stored yet."""
+
+    report: crash_reports.CrashReport
+    at_s: float
+    revision: int = 0
+
+
+@attrs.define
+class _Suspicion:
+    """What speaks against a prompt part.
+
+    Parameters
+    ----------
+    common_parts : frozenset of str
+        Parts of all prompts that had the part, as far as not known to be sound.
+    servers : set of str
+        Servers that crashed.
+    n_prompts : int
+        Prompts with the part that they had just begun to answer.
+    """
+
+    common_parts: frozenset[str]
+    servers: set[str] = attrs.field(factory=set)
+    n_prompts: int = 0
+
+    def add(self, prompt: frozenset[str], server: str) -> None:
+        """Add a prompt with the part."""
+        self.common_parts &= prompt
+        self.servers.add(server)
+        self.n_prompts += 1
+
+    def order(self, part: str) -> tuple[float, int, str]:
+        """Return the order in which parts are taken as the causes of crashes.
+
+        A part that other prompts of the crashed servers had as well comes later.
+        """
+        return (-len(self.servers) / self.n_prompts, -len(self.servers), part)
+
+
+class Quarantine:
+    """The crash reports of all daemons and the parts in quarantine.
+
+    Attributes
+    ----------
+    signatures : dict of str to frozenset of str
+        For each part in quarantine the parts that a prompt must all have to be held
+        back.
+
+    Examples
+    --------
+    >>> quarantine = Quarantine()
+    >>> for n in range(3):
+    ...     prompt = frozenset(["bad", f"other {n}"])
+    ...     report = crash_reports.CrashReport(f"server {n}", "vm-1", (prompt,))
+    ...     quarantine.record_crash(report, now_s=float(n))
+    >>> quarantine.find(["first", "bad"]), quarantine.find(["first", "other 1"])
+    ('bad', None)
+    """
+
+    def __init__(self) -> None:
+        self.signatures: dict[str, frozenset[str]] = {}
+        self._received: dict[tuple[str, str], _Received] = {}
+        self._sound_s: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._sound_revisions: dict[str, int] = {}
+        self._n_crashes: dict[str, int] = {}
+
+    def record_crash(self, report: crash_reports.CrashReport, now_s: float) -> None:
+        """Take a report; one that was received before keeps its time."""
+        if self._add(report, now_s):
+            self._update()
+
+    def apply_stored(
+        self, stored: crash_reports.StoredReports, is_settled: bool, now_s: float
+    ) -> None:
+        """Apply the reports that the store holds.
+
+        Parameters
+        ----------
+        stored : StoredReports
+        is_settled : bool
+            False while missing reports may only be lost to the store for a moment.
+        now_s : float
+        """
+        self._sound_revisions = {
+            sound.part: revision for sound, revision in stored.sound_parts
+        }
+        listed = set()
+        for report, revision in stored.crashes:
+            key = (report.server, report.vm)
+            listed.add(key)
+            self._add(report, now_s)
+            self._received[key].revision = revision
+        if is_settled:
+            for key, received in list(self._received.items()):
+                if received.revision and key not in listed:
+                    del self._received[key]
+        self._update()
+
+    def record_sound(self, parts: list[str], now_s: float) -> list[str]:
+        """Record an answer that went well; return the parts that were suspected.
+
+        Only those that lack one crash to a quarantine, or none, are returned.
+        """
+        suspected = [
+            part
+            for part in parts
+            if self._n_crashes.get(part, 0) >= CRASHES_TO_QUARANTINE - 1
+        ]
+        is_reported = any(part in self._n_crashes for part in parts)
+        for part in parts:
+            self._sound_s[part] = now_s
+            self._sound_s.move_to_end(part)
+        while len(self._sound_s) > MAX_SOUND_PARTS:
+            self._sound_s.popitem(last=False)
+        if is_reported:
+            self._update()
+        return suspected
+
+    def is_recently_sound(self, part: str, now_s: float) -> bool:
+        """Return whether an answer on the part has just gone well here."""
+        return now_s - self._sound_s.get(part, -math.inf) < RECENTLY_SOUND_S
+
+    def find(self, parts: list[str]) -> str | None:
+        """Return a part for which a prompt is held back; None if there is none."""
+        if not self.signatures:
+            return None
+        for part in parts:
+            signature = self.signatures.get(part)
+            if signature is not None and signature.issubset(parts):
+                return part
+        return None
+
+    def ends_in_s(self, part: str, now_s: float) -> float:
+        """Return the time until the reports on a part in quarantine expire."""
+        newest_s = max(
+            (
+                received.at_s
+                for received in self._received.values()
+                if any(part in prompt for prompt in received.report.prompts)
+            ),
+            default=now_s,
+        )
+        return max(0.0, newest_s + REPORT_TTL_S - now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drop expired reports."""
+        if not self._received:
+            return
+        expired = [
+            key
+            for key, received in self._received.items()
+            if now_s - received.at_s > REPORT_TTL_S
+        ]
+        for key in expired:
+            del self._received[key]
+        if expired:
+            self._update()
+
+    def _add(self, report: crash_reports.CrashReport, now_s: float) -> bool:
+        key = (report.server, report.vm)
+        if key in self._received:
+            return False
+        self._received[key] = _Received(report, now_s)
+        if len(self._received) > MAX_REPORTS:
+            del self._received[next(iter(self._received))]
+        return True
+
+    def _update(self) -> None:
+        suspicions = self._suspicions()
+        self._n_crashes = {
+            part: len(suspicion.servers) for part, suspicion in suspicions.items()
+        }
+        self.signatures = {}
+        explained: set[str] = set()
+        for part in sorted(suspicions, key=lambda part: suspicions[part].order(part)):
+            suspicion = suspicions[part]
+            if len(suspicion.servers - explained) >= CRASHES_TO_QUARANTINE:
+                self.signatures[part] = suspicion.common_parts
+                explained |= suspicion.servers
+
+    def _suspicions(self) -> dict[str, _Suspicion]:
+        suspicions: dict[str, _Suspicion] = {}
+        for received in self._received.values():
+            for prompt in received.report.prompts:
+                suspects = frozenset(
+                    part for part in prompt if not self._is_sound_since(part, received)
+                )
+                for part in suspects:
+                    suspicion = suspicions.setdefault(part, _Suspicion(suspects))
+                    suspicion.add(suspects, received.report.server)
+        return suspicions
+
+    def _is_sound_since(self, part: str, received: _Received) -> bool:
+        if self._sound_s.get(part, -math.inf) > received.at_s:
+            return True
+        return 0 < received.revision < self._sound_revisions.get(part, 0)
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -4,6 +4,7 @@
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
+    crash_handlers,
     effects,
     events,
     placement,
@@ -38,7 +39,16 @@
     events.AttemptResult.SPOILED: 1.0,
 }
 
-_NOT_RUN_REASONS = frozenset([outcomes.Reason.NO_CAPACITY, outcomes.Reason.NO_SERVER])
+MAX_LOST_BEGINNINGS = 2
+"""Servers lost as they began to answer a request after which it is not sent again."""
+
+_NOT_RUN_REASONS = frozenset(
+    [
+        outcomes.Reason.NO_CAPACITY,
+        outcomes.Reason.NO_SERVER,
+        outcomes.Reason.PROMPT_HELD_BACK,
+    ]
+)
 
 
 def on_request_arrived(
@@ -94,6 +104,7 @@
         return
     assert item.attempt is not None
     item.is_committed = item.is_committed or event.is_committed
+    item.attempt.begun_s = now_s
     server = st.servers.by_id.get(item.attempt.server_id)
     if server is not None:
         server.record_first_byte((item.req.id, event.attempt_id), now_s)
@@ -108,6 +119,7 @@
     attempt, item.attempt = item.attempt, None
     assert attempt is not None
     _record_result(st, item, attempt, event, now_s)
+    crash_handlers.on_attempt_ended(st, item, attempt, event, now_s)
     if item.is_detached:
         _close_request(st, item)
         return
@@ -124,9 +136,10 @@
 
 
 def on_tick(st: state.State, now_s: float) -> None:
-    """End requests whose deadline has passed."""
+    """End requests whose deadline has passed, or whose prompt is held back now."""
     for item in list(st.open_requests.values()):
         if now_s < item.deadline_s:
+            _recall_held_back(st, item, now_s)
             continue
         if item.is_detached:
             _cancel_attempt(st, item)
@@ -142,6 +155,17 @@
         _refuse(st, item, outcomes.Reason.DEADLINE, log_fields)
 
 
+def _recall_held_back(st: state.State, item: state.OpenRequest, now_s: float) -> None:
+    """Call a prompt that is held back now back from the queue of its server."""
+    if item.attempt is None or item.attempt.begun_s is not None or item.is_detached:
+        return
+    part = crash_handlers.find_quarantined(st, item.req)
+    if part is not None:
+        _cancel_attempt(st, item)
+        item.may_have_run = True
+        _hold_back(st, item, part, now_s)
+
+
 def _is_refused_at_stop(req: ingress.Request, stopping_for_s: float) -> bool:
     """Return whether a stopping daemon refuses a request.
 
@@ -174,6 +198,10 @@
 
 
 def _place(st: state.State, item: state.OpenRequest, now_s: float) -> None:
+    part = crash_handlers.find_quarantined(st, item.req)
+    if part is not None:
+        _hold_back(st, item, part, now_s)
+        return
     choice = st.choose(st, item, now_s)
     if isinstance(choice, placement.ServerChoice):
         sending.send_to_server(st, item, choice, now_s)
@@ -192,6 +220,15 @@
         _give_up(st, item, reason, log_fields, choice.retry_after_s)
 
 
+def _hold_back(
+    st: state.State, item: state.OpenRequest, part: str, now_s: float
+) -> None:
+    """End a request with a prompt part under which servers crash."""
+    retry_after_s = st.quarantine.ends_in_s(part, now_s)
+    reason = outcomes.Reason.PROMPT_HELD_BACK
+    _give_up(st, item, reason, {"part": part}, retry_after_s)
+
+
 def _record_result(
     st: state.State,
     item: state.OpenRequest,
@@ -223,7 +260,7 @@
     st: state.State, item: state.OpenRequest, event: events.AttemptEnded, now_s: float
 ) -> None:
     is_failure = event.status >= 500 and item.route.is_repeatable
-    if is_failure and not item.is_committed and _can_retry(item, now_s):
+    if is_failure and not item.is_committed and _can_retry(st, item, now_s):
         choice = st.choose(st, item, now_s)
         is_placed = not isinstance(choice, placement.NoCapacity)
         if is_placed and _take_retry_budget(st, item, now_s, FAILURE_BUDGET_FRACTION):
@@ -283,14 +320,16 @@
 
 
 def _reserve_retry(st: state.State, item: state.OpenRequest, now_s: float) -> bool:
-    return _can_retry(item, now_s) and _take_retry_budget(st, item, now_s)
+    return _can_retry(st, item, now_s) and _take_retry_budget(st, item, now_s)
 
 
-def _can_retry(item: state.OpenRequest, now_s: float) -> bool:
+def _can_retry(st: state.State, item: state.OpenRequest, now_s: float) -> bool:
     """Return whether attempts and time are left, regardless of the retry budget."""
     if (
         item.n_server_attempts >= item.route.max_attempts
         or item.n_attempts >= MAX_ATTEMPTS
+        or item.n_lost_beginnings >= MAX_LOST_BEGINNINGS
+        or crash_handlers.find_quarantined(st, item.req) is not None
     ):
         return False
     return not item.req.is_relayed and item.deadline_s - now_s > MIN_REMAINING_S
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -10,6 +10,7 @@
 from bilberryridge.decisions.ingress import (
     effects,
     members,
+    quarantine,
     regions,
     retry_budget,
     server_table,
@@ -59,6 +60,10 @@
         Name and region of that daemon; empty and the local region for an attempt at a
         server.
     sent_s : float
+    begun_s : float or None
+        When the first bytes of an answer were received.
+    is_sound : bool
+        Whether the server is known not to have crashed on it.
     """
 
     id: int
@@ -66,6 +71,8 @@
     peer: str
     region: str
     sent_s: float
+    begun_s: float | None = None
+    is_sound: bool = False
 
 
 @attrs.define
@@ -90,6 +97,8 @@
         Whether a part of the answer was passed on to the caller.
     is_detached : bool
         Whether the caller has left but the attempt continues.
+    n_lost_beginnings : int
+        Attempts whose server was lost as it began to answer.
     attempt : Attempt or None
         The open attempt.
     tried_servers, tried_peers, tried_regions : set of str
@@ -107,6 +116,7 @@
     may_have_run: bool = False
     is_committed: bool = False
     is_detached: bool = False
+    n_lost_beginnings: int = 0
     attempt: Attempt | None = None
     tried_servers: set[str] = attrs.field(factory=set)
     tried_peers: set[str] = attrs.field(factory=set)
@@ -123,6 +133,23 @@
         return self.route.latency_goal_s - waited_s
 
 
+@attrs.define
+class LostServer:
+    """A server whose connections have just ended.
+
+    Parameters
+    ----------
+    server : str
+    at_s : float
+    prompts : list of frozenset of str
+        Shared parts of the prompts that it had just begun to answer.
+    """
+
+    server: str
+    at_s: float
+    prompts: list[frozenset[str]] = attrs.field(factory=list)
+
+
 PlacementRule = Callable[["State", OpenRequest, float], Any]
 """Decides where a request is sent; see `placement.choose`."""
 
@@ -150,6 +177,8 @@
         self.budget = retry_budget.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self.quarantine = quarantine.Quarantine()
+        self.lost_servers: list[LostServer] = []
         self.open_requests: dict[str, OpenRequest] = {}
         self.longest_timeout_s: dict[str, float] = {}
         self.stopping_s: float | None = None
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quarantine.py
@@ -0,0 +1,119 @@
+"""Which prompts are held back after which crashes."""
+
+import pytest
+
+from bilberryridge.decisions.ingress import crash_reports, quarantine
+
+
+def report(number, *prompts, vm="vm-1"):
+    parts = tuple(frozenset(prompt.split()) for prompt in prompts)
+    return crash_reports.CrashReport(f"server-{number}", vm, parts)
+
+
+def make_quarantine(*crashes):
+    tested = quarantine.Quarantine()
+    for number, prompts in enumerate(crashes):
+        tested.record_crash(report(number, *prompts), float(number))
+    return tested
+
+
+@pytest.mark.parametrize(
+    ("crashes", "held_back", "let_through"),
+    [
+        ([["a bad"], ["b bad"]], [], ["bad"]),
+        ([["a bad"], ["b bad"], ["c bad"]], ["bad", "d bad"], ["a", "a b c"]),
+        # Parts that all these prompts had may be sound by themselves.
+        ([["a bad"], ["a bad"], ["a bad"]], ["a bad c"], ["a", "bad"]),
+        # Another prompt on each server had the part that all prompts have.
+        (
+            [["base a", "base bad"], ["base bad", "base b"], ["base c", "base bad"]],
+            ["base bad"],
+            ["base", "base a", "base d"],
+        ),
+        # Two causes at once.
+        (
+            [["a x"], ["a y"], ["b x"], ["b y"], ["c x"], ["c y"]],
+            ["a x", "d y"],
+            ["a", "b", "a z"],
+        ),
+        # A part of the callers that happens to be in most of the prompts.
+        (
+            [["a bad"], ["a bad"], ["a bad"], ["b bad"]],
+            ["bad", "c bad"],
+            ["a", "b"],
+        ),
+        ([["a"], ["b"], ["c"], ["d"]], [], ["a", "b"]),
+    ],
+)
+def test_prompts_with_what_the_crashes_have_in_common_are_held_back(
+    crashes, held_back, let_through
+):
+    tested = make_quarantine(*crashes)
+    for prompt in held_back:
+        assert tested.find(prompt.split()), prompt
+    for prompt in let_through:
+        assert tested.find(prompt.split()) is None, prompt
+
+
+def test_one_crash_that_several_daemons_report_counts_once():
+    tested = quarantine.Quarantine()
+    for n in range(5):
+        tested.record_crash(report(1, "bad", vm=f"vm-{n}"), 0.0)
+    assert tested.find(["bad"]) is None
+
+
+def test_part_on_which_an_answer_went_well_is_not_held_back():
+    tested = make_quarantine(["a"], ["a"], ["a"])
+    assert tested.find(["a"])
+    assert tested.record_sound(["a"], 5.0) == ["a"]
+    assert tested.find(["a"]) is None
+    assert tested.record_sound(["a"], 5.1) == []
+
+
+def test_sound_answer_before_the_crashes_does_not_clear_a_part():
+    tested = quarantine.Quarantine()
+    tested.record_sound(["a"], 1.0)
+    for n in range(3):
+        tested.record_crash(report(n, "a"), 2.0 + n)
+    assert tested.find(["a"])
+
+
+def test_sound_part_in_the_store_voids_the_crashes_before_it():
+    tested = quarantine.Quarantine()
+    crashes = tuple((report(n, "a b"), 10 + n) for n in range(3))
+    sound = ((crash_reports.SoundPart("a"), 20),)
+    tested.apply_stored(crash_reports.StoredReports(crashes, sound), True, 0.0)
+    assert tested.find(["a"]) is None
+    assert tested.find(["b"])
+
+
+@pytest.mark.parametrize("is_settled", [True, False])
+def test_reports_that_left_the_store_are_dropped_once_it_is_settled(is_settled):
+    tested = quarantine.Quarantine()
+    crashes = tuple((report(n, "a"), 10 + n) for n in range(3))
+    tested.apply_stored(crash_reports.StoredReports(crashes), True, 0.0)
+    tested.apply_stored(crash_reports.StoredReports(), is_settled, 1.0)
+    assert (tested.find(["a"]) is None) is is_settled
+
+
+def test_report_that_is_not_stored_yet_holds():
+    tested = make_quarantine(["a"], ["a"], ["a"])
+    tested.apply_stored(crash_reports.StoredReports(), True, 5.0)
+    assert tested.find(["a"])
+
+
+def test_part_is_tried_again_when_its_reports_have_expired():
+    tested = make_quarantine(["a"], ["a"], ["a"])
+    assert tested.ends_in_s("a", 12.0) == quarantine.REPORT_TTL_S - 10.0
+    tested.expire(2.0 + quarantine.REPORT_TTL_S)
+    assert tested.find(["a"]) is None
+
+
+def test_reports_and_sound_parts_are_bounded():
+    tested = quarantine.Quarantine()
+    for n in range(quarantine.MAX_REPORTS + 50):
+        tested.record_crash(report(n, f"p{n}"), float(n))
+    for n in range(quarantine.MAX_SOUND_PARTS + 50):
+        tested.record_sound([f"s{n}"], 1_000.0)
+    assert len(tested._received) == quarantine.MAX_REPORTS
+    assert len(tested._sound_s) == quarantine.MAX_SOUND_PARTS
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -15,7 +15,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions import store_watchers
-from bilberryridge.decisions.ingress import load_messages
+from bilberryridge.decisions.ingress import crash_reports, load_messages
 from bilberryridge.peers import codec
 from bilberryridge.store import mirror
 
@@ -71,6 +71,7 @@
     | ChangesRequest
     | load_messages.DaemonLoads
     | load_messages.RegionLoads
+    | crash_reports.Report
     | StoreChanges
 )
 
@@ -215,6 +216,16 @@
     )
 
 
+def _pack_crash_report(report: crash_reports.CrashReport) -> list[Any]:
+    return [report.server, report.vm, [sorted(prompt) for prompt in report.prompts]]
+
+
+def _unpack_crash_report(fields: list[Any]) -> crash_reports.CrashReport:
+    server, vm, prompts = fields
+    parts = tuple(frozenset(str(part) for part in prompt) for prompt in prompts)
+    return crash_reports.CrashReport(str(server), str(vm), parts)
+
+
 def _unpack_changes_request(fields: list[Any]) -> ChangesRequest:
     revision, *era = fields
     return ChangesRequest(int(revision), int(era[0]) if era else None)
@@ -230,6 +241,8 @@
     load_messages.DaemonLoads: ("domain", _pack_daemon_loads),
     load_messages.RegionLoads: ("region", _pack_region_loads),
     StoreChanges: ("changes", _pack_changes),
+    crash_reports.CrashReport: ("crash", _pack_crash_report),
+    crash_reports.SoundPart: ("sound", lambda report: [report.part]),
     store_watchers.StorePosition: (
         "position",
         lambda message: [
@@ -246,5 +259,7 @@
     "domain": _unpack_daemon_loads,
     "region": _unpack_region_loads,
     "changes": _unpack_changes,
+    "crash": _unpack_crash_report,
+    "sound": lambda fields: crash_reports.SoundPart(str(fields[0])),
     "position": _unpack_position,
 }
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bilberryridge.decisions import store_watchers
-from bilberryridge.decisions.ingress import load_messages
+from bilberryridge.decisions.ingress import crash_reports, load_messages
 from bilberryridge.peers import codec, link_codec
 from bilberryridge.store import mirror
 
@@ -23,6 +23,8 @@
         store_watchers.StorePosition(4, 9, 0.25, True),
         link_codec.ChangesRequest(9, 4),
         link_codec.StoreChanges(CHANGES, True, since=7),
+        crash_reports.CrashReport("s1.5", "vm-1", (frozenset("ab"), frozenset("c"))),
+        crash_reports.SoundPart("a"),
     ],
 )
 def test_decoded_message_is_the_encoded_one(message):
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -105,6 +105,7 @@
                 effect.request_id
             ).on_refused(None),
             effects.SendPeerMessage: self._send_peer_message,
+            effects.StoreReport: lambda effect: None,
             effects.LogStateChange: lambda effect: None,
         }
 
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -100,6 +100,7 @@
         self._has_ended = False
         self._is_over_bound = False
         self._is_end_marked = True
+        self._is_disconnected = False
         self._timer: timers.Timer | None = None
         self._set_timer(first_byte_timeout_s)
 
@@ -168,8 +169,10 @@
         if not self.is_passed_through:
             self._report(_RESULT_BY_KIND[self.head.kind])
         elif self._splitter.is_inside_event:
+            self._is_disconnected = not is_end_marked
             self._report(events.AttemptResult.LOST, "ended within an event")
         elif not is_end_marked and self._n_events == 0:
+            self._is_disconnected = True
             self._report(events.AttemptResult.LOST, "ended before the first event")
         else:
             self._finish_stream()
@@ -189,6 +192,7 @@
             self._report(events.AttemptResult.NOT_RUN, detail)
             return
         self._is_over_bound = failure is upstream.Failure.OVER_BOUND
+        self._is_disconnected = failure is upstream.Failure.LOST
         self._report(_RESULT_BY_FAILURE[failure], detail)
 
     def _begin(self) -> None:
@@ -227,6 +231,7 @@
             n_events=self._n_events,
             detail=detail,
             is_over_bound=self._is_over_bound,
+            is_disconnected=self._is_disconnected,
             is_end_marked=self._is_end_marked,
             n_incomplete_bytes=len(self._splitter.incomplete),
         )
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -8,7 +8,7 @@
 import attrs
 
 from bilberryridge.core import ingress, outcomes
-from bilberryridge.decisions.ingress import effects, events, load_messages, node
+from bilberryridge.decisions.ingress import crash_reports, effects, events, node
 from bilberryridge.transport import (
     connection,
     errors,
@@ -30,10 +30,10 @@
 LOGGER = logging.getLogger("bilberryridge")
 MAX_LOGGED_ID_CHARS = 80
 
-SendPeerMessage = Callable[
-    [str, load_messages.DaemonLoads | load_messages.RegionLoads], Any
-]
+SendPeerMessage = Callable[[str, effects.PeerMessage], Any]
 """Sends a message to the daemon on a VM, given its name."""
+StoreReport = Callable[[crash_reports.Report], None]
+"""Writes a report to the store."""
 
 
 class Gateway:
@@ -47,6 +47,8 @@
     ingress_node : Node
     send_peer_message : Callable
         Sends a message to another daemon.
+    store_report : Callable
+        Writes a report to the store.
     counters : Metrics
     """
 
@@ -57,6 +59,7 @@
         wire: dialect.Dialect,
         ingress_node: node.Node,
         send_peer_message: SendPeerMessage,
+        store_report: StoreReport,
         counters: metrics.Metrics,
     ):
         self.node = ingress_node
@@ -64,6 +67,7 @@
         self._pool = pool
         self._wire = wire
         self._send_message = send_peer_message
+        self._store_report = store_report
         self._counters = counters
         self._exchanges: dict[str, exchange.Exchange] = {}
         self._by_conn: dict[connection.Connection, exchange.Exchange] = {}
@@ -82,6 +86,7 @@
             effects.Refuse: self._refuse,
             effects.AbortStream: self._abort_stream,
             effects.SendPeerMessage: self._send_peer_message,
+            effects.StoreReport: lambda effect: self._store_report(effect.report),
             effects.LogStateChange: self._log_state_change,
         }
 
