Ingress: a server that says in an answer that it leaves gets nothing more

Nothing read the word of a leaving server in its answers; a daemon went on sending until the store or another daemon told it. Change: the adapter decodes the field on every answer of the server itself, an answer of another server at its address excepted, and the head tells the node at once. From then on this daemon sends nothing more there: no request, retry, resume, prompt fetch or warm-up. The word holds for that start of the server, also if its entry lapses and is listed again; a new id or start time begins anew. The message with the loads tells it to the daemons of the region, which believe it for ten seconds at a time. The field concerns this hop and isn't passed on to callers. What a daemon has met at a server (failed connections, its word) is a module of its own, server_availability; the store's list is judged beside it.

--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -109,6 +109,7 @@
     _counter("ingress_sends", "Attempts sent.", "way"),
     _counter("ingress_attempts", "Attempts that ended.", "result"),
     _counter("ingress_streams_cut", "Streams that could not be finished."),
+    _counter("ingress_servers_put_aside", "Servers that got no new work.", "cause"),
     _counter("ingress_answers_over_bound", "Answers that exceeded a bound."),
     _counter("log_lines_dropped", "Log lines over the bound."),
     _counter("store_entries_unreadable", "Entries of the store left out.", "kind"),
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -104,6 +104,23 @@
     n_slots: int
 
 
+@attrs.frozen
+class ServerSaid:
+    """The head of a server's answer tells something of the server itself.
+
+    Parameters
+    ----------
+    request_id : str
+    attempt_id : int
+    is_leaving : bool
+        Whether it leaves and wants no new work.
+    """
+
+    request_id: str
+    attempt_id: int
+    is_leaving: bool = False
+
+
 @attrs.frozen
 class AttemptBegan:
     """The first bytes of an answer were received.
@@ -222,6 +239,7 @@
     | CrashReportsRead
     | RequestArrived
     | CallerGone
+    | ServerSaid
     | AttemptBegan
     | AttemptEnded
     | LinkUp
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -24,6 +24,7 @@
     load_handlers,
     placement,
     request_handlers,
+    server_word_handlers,
     state,
 )
 
@@ -84,6 +85,7 @@
     events.CrashReportsRead: crash_handlers.on_stored_reports,
     events.RequestArrived: request_handlers.on_request_arrived,
     events.CallerGone: request_handlers.on_caller_gone,
+    events.ServerSaid: server_word_handlers.on_server_said,
     events.AttemptBegan: request_handlers.on_attempt_began,
     events.AttemptEnded: request_handlers.on_attempt_ended,
     events.LinkUp: load_handlers.on_link_up,
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -250,9 +250,13 @@
         n_tokens = (event.n_events - 1) * engine.n_tokens_per_event
         server.record_stream(event.took_s - event.first_s, n_tokens, now_s)
     if event.result is events.AttemptResult.NOT_SENT or event.is_misdirected:
-        server.mark_unavailable(now_s)
+        server.availability.record_failed_connection(now_s)
         change = f"{attempt.server_id} takes no work"
-        log_fields = {"for_s": server.unavailable_for_s, "result": event.result.value}
+        log_fields = {
+            "cause": "failed connection",
+            "for_s": server.availability.unavailable_for_s,
+            "result": event.result.value,
+        }
         st.emit(effects.LogStateChange("server", change, log_fields))
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -1,5 +1,7 @@
 """State of the backend servers of the region as seen by one daemon."""
 
+import collections
+
 import attrs
 
 from bilberryridge.core import ingress
@@ -10,6 +12,7 @@
     open_work,
     prefill_load,
     prefix_cache_model,
+    server_availability,
     warm_up,
 )
 
@@ -32,11 +35,10 @@
 ERROR_STATUS_SEVERITY = 0.4
 """Severity of an error status, lower than that of a lost answer, as the request itself
 may be the cause."""
-FIRST_UNAVAILABLE_S, MAX_UNAVAILABLE_S = 0.5, 4.0
-"""How long a server is not used after a failed connection; doubled with each failure up
-to the maximum."""
 MAX_RANKINGS = 200
 """Maximum number of cached server rankings, some 20 kB each with 200 servers."""
+MAX_LEFT = 1_000
+"""Starts of servers that are remembered as leaving."""
 CACHE_FRACTION = 0.7
 """Fraction of an engine's memory that is assumed to be available for cached prompt
 parts."""
@@ -67,8 +69,7 @@
     n_sent_tokens : int
         Prompt tokens that this daemon sent there for prefill since its start.
     prefill : PrefillLoad
-    unavailable_until_s, unavailable_for_s : float
-        End and length of the latest period in which the server is not used.
+    availability : Availability
     """
 
     record: ingress.BackendServer
@@ -85,8 +86,9 @@
     inter_token_slowdown: float = 1.0
     n_sent_tokens: int = 0
     prefill: prefill_load.PrefillLoad = attrs.field(factory=prefill_load.PrefillLoad)
-    unavailable_until_s: float = 0.0
-    unavailable_for_s: float = 0.0
+    availability: server_availability.Availability = attrs.field(
+        factory=server_availability.Availability
+    )
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
 
@@ -119,14 +121,7 @@
         self._failure_rate = before + FAILURE_RATE_GAIN * (severity - before)
         self._failure_rate_updated_s = now_s
         if severity == 0.0:
-            self.unavailable_for_s = 0.0
-
-    def mark_unavailable(self, now_s: float) -> None:
-        """Stop using the server for a while, after a failed connection."""
-        self.unavailable_for_s = min(
-            MAX_UNAVAILABLE_S, max(FIRST_UNAVAILABLE_S, 2 * self.unavailable_for_s)
-        )
-        self.unavailable_until_s = now_s + self.unavailable_for_s
+            self.availability.record_success()
 
     def record_first_byte(self, key: open_work.Key, now_s: float) -> float | None:
         """Update the slowdown with an answer's first byte; return the time it took."""
@@ -182,7 +177,8 @@
     ) -> load_messages.ServerShare:
         """Return this daemon's share of the open work."""
         failure_rate = round(self.local_failure_rate(now_s), 1)
-        return self.work.share(parts, failure_rate, self.n_sent_tokens)
+        share = self.work.share(parts, failure_rate, self.n_sent_tokens)
+        return attrs.evolve(share, is_leaving=self.availability.is_leaving)
 
 
 class ServerTable:
@@ -200,6 +196,9 @@
         self.by_id: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
         self._ranks: dict[tuple[str, str], dict[str, int]] = {}
+        self._left: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     def update(
         self,
@@ -219,6 +218,17 @@
         self._rebuild_index()
         return changes
 
+    def set_leaving(self, server: ServerState) -> None:
+        """Record that a server told this daemon that it leaves.
+
+        It is remembered for this start of the server, whose entry may lapse and be
+        listed again as before.
+        """
+        server.availability.is_leaving = True
+        self._left[server.record.id, server.record.start_time_ms] = None
+        if len(self._left) > MAX_LEFT:
+            self._left.popitem(last=False)
+
     def set_evacuated(
         self, domains: frozenset[str], table: ingress.RoutingTable | None, now_s: float
     ) -> None:
@@ -258,7 +268,7 @@
             for server in self.servers_of(service)
             if not server.record.is_leaving
             and server.record.domain not in self.evacuated
-            and now_s >= server.unavailable_until_s
+            and server.availability.is_open(now_s)
         ]
 
     def remove_peer(self, vm: str) -> None:
@@ -278,6 +288,8 @@
                 parts = (ingress.PromptPart(*part) for part in share.parts)
                 server.cache.add(parts, now_s)
                 share = attrs.evolve(share, parts=())
+            if share.is_leaving:
+                server.availability.record_leaving_report(now_s)
             before = server.work.peer_shares.get(vm)
             if before is not None:
                 n_new = share.n_sent_tokens - before.n_sent_tokens
@@ -301,7 +313,7 @@
         return {
             server_id: server.local_share((), now_s)
             for server_id, server in self.by_id.items()
-            if server.work.local_attempts
+            if server.work.local_attempts or server.availability.is_leaving
         }
 
     def _update_server(
@@ -312,9 +324,12 @@
     ) -> list[str]:
         server = self.by_id.get(record.id)
         if server is None or _is_restart(server.record, record):
-            self.by_id[record.id] = ServerState(
+            server = ServerState(
                 record, _new_cache(record, table), now_s + record.warmup_remaining_s
             )
+            has_left = (record.id, record.start_time_ms) in self._left
+            server.availability.is_leaving = has_left and record.start_time_ms > 0
+            self.by_id[record.id] = server
             return [f"{record.id} of {record.service} is there"]
         if server.record == record:
             return []
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_placement.py
@@ -301,7 +301,8 @@
     assert daemon.arrive("1", "digest", prompt=hot_prompt("1")).fetch_from == ""
 
     daemon, prefix_source = daemon_with_part_cached_at_a_busy_server()
-    daemon.node.state.servers.by_id[prefix_source.id].mark_unavailable(daemon.now_s)
+    source = daemon.node.state.servers.by_id[prefix_source.id]
+    source.availability.record_failed_connection(daemon.now_s)
     assert daemon.arrive("1", "digest", prompt=hot_prompt("1")).fetch_from == ""
 
 
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -34,6 +34,9 @@
     def is_matching_answer(self, fields: headers.Fields) -> bool:
         """Return whether an answer belongs to the request."""
 
+    def on_server_said(self, said: events.ServerSaid) -> None:
+        """The head of an answer tells something of its server."""
+
     def on_begun(self, attempt: "Attempt") -> None:
         """The first bytes of an answer were received."""
 
@@ -126,6 +129,10 @@
     def on_head(self, status: int, fields: headers.Fields) -> None:
         """See `upstream.Sink`."""
         self.head = self._read_head(status, fields)
+        if self.head.is_leaving:
+            self._owner.on_server_said(
+                events.ServerSaid(self._request_id, self.id, is_leaving=True)
+            )
         if self.head.kind is dialect.AnswerKind.UNVERIFIED:
             self._fail(events.AttemptResult.SPOILED, "a success without its seal")
         elif not self.is_passed_through:
--- a/packages/transport/bilberryridge/transport/ingress/dialect.py
+++ b/packages/transport/bilberryridge/transport/ingress/dialect.py
@@ -50,6 +50,8 @@
     kind : AnswerKind
     load : ServerLoad or None
     retry_after_s : float or None
+    is_leaving : bool
+        Whether the server says that it leaves.
     """
 
     status: int
@@ -57,6 +59,7 @@
     kind: AnswerKind
     load: events.ServerLoad | None = None
     retry_after_s: float | None = None
+    is_leaving: bool = False
 
 
 ReadAnswer = Callable[[int, headers.Fields], AnswerHead]
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -150,6 +150,10 @@
         """See `attempt.Owner`."""
         return self._wire.is_matching_answer(self.head, fields)
 
+    def on_server_said(self, said: events.ServerSaid) -> None:
+        """See `attempt.Owner`."""
+        self._post(said)
+
     def on_begun(self, source: attempt.Attempt) -> None:
         """See `attempt.Owner`."""
         began = events.AttemptBegan(
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -246,6 +246,9 @@
 
     def _log_state_change(self, effect: effects.LogStateChange) -> None:
         extra = {"subject": effect.subject, **effect.log_fields}
+        cause = effect.log_fields.get("cause")
+        if cause is not None:
+            self._counters.count("ingress_servers_put_aside", (cause,))
         LOGGER.info("%s", effect.change, extra=extra)
 
     # Logs.
