Ingress: a busy server that asks for time is left alone for so long

Retry-After of a server's 503 was told to the caller and not obeyed: the server stayed in placement, and the next request could reach it at once. Change: the head of the 503 tells the node, whether or not the server says that it did not run the request. The server gets nothing from this daemon until its time has passed, with a random delay of up to a fifth of it (0.5 s at most) after, and then one more open request each 0.1 s for a second. A longer time extends, a shorter one doesn't cut short; at most 30 s count, so that one that always asks for more is tried again. If no server of the service takes work, the request is refused at once, with the earliest return and a spread as its Retry-After. Other daemons are not told: the server speaks to this one only.

--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -114,11 +114,14 @@
     attempt_id : int
     is_leaving : bool
         Whether it leaves and wants no new work.
+    asked_s : float or None
+        Time for which it wants nothing from this daemon.
     """
 
     request_id: str
     attempt_id: int
     is_leaving: bool = False
+    asked_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -75,6 +75,7 @@
     st.members.remove_expired(now_s)
     load_handlers.on_tick(st, now_s)
     crash_handlers.on_tick(st, now_s)
+    server_word_handlers.on_tick(st, now_s)
 
 
 _HANDLERS: dict[type, Callable] = {
--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -8,6 +8,8 @@
 so that the other requests meet their goals.
 """
 
+import math
+
 import attrs
 
 from bilberryridge.core import ingress
@@ -133,7 +135,7 @@
     ):
         best = remote
     if best is None:
-        return NoCapacity(None, _jittered(st, NO_SERVER_RETRY_AFTER_S))
+        return NoCapacity(None, no_server_retry_after_s(st, item, now_s))
     if _is_fast_enough(item, best.expected, now_s):
         return best
     retry_after_s = _retry_after_s(st, item, best.expected)
@@ -361,6 +363,16 @@
     return end_s <= item.deadline_s - now_s
 
 
+def no_server_retry_after_s(
+    st: state.State, item: state.OpenRequest, now_s: float
+) -> float:
+    """Return the Retry-After when no server takes the request now."""
+    returns_in_s = st.servers.returns_s(item.service.name) - now_s
+    if not math.isfinite(returns_in_s):
+        returns_in_s = 0.0
+    return max(0.0, returns_in_s) + _jittered(st, NO_SERVER_RETRY_AFTER_S)
+
+
 def _retry_after_s(
     st: state.State, item: state.OpenRequest, expected: estimates.Estimate
 ) -> float:
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -294,7 +294,7 @@
     if _reserve_retry(st, item, now_s):
         _place(st, item, now_s)
         return
-    retry_after_s = event.retry_after_s or placement.NO_SERVER_RETRY_AFTER_S
+    retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
     log_fields = {"status": event.status}
     _give_up(st, item, outcomes.Reason.NO_CAPACITY, log_fields, retry_after_s)
 
@@ -319,7 +319,7 @@
     if has_time and (not is_counted or _take_retry_budget(st, item, now_s)):
         _place(st, item, now_s)
         return
-    retry_after_s = placement.NO_SERVER_RETRY_AFTER_S
+    retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
     _give_up(st, item, outcomes.Reason.NO_SERVER, {}, retry_after_s)
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
@@ -8,6 +8,16 @@
 FIRST_UNAVAILABLE_S, MAX_UNAVAILABLE_S = 0.5, 4.0
 """How long a server is not used after a failed connection; doubled with each failure up
 to the maximum."""
+MAX_ASKED_S = 30.0
+"""Longest time for which a server that asks to be left alone is; one that always asks
+for longer gets a request each time that this has passed."""
+MAX_RETURN_DELAY_S, RETURN_DELAY_FRACTION = 0.5, 0.2
+"""Upper bound of the random delay after the time asked for, and fraction of that time:
+daemons don't come back at the same moment."""
+RAMP_STEP_S = 0.1
+RAMP_S = 1.0
+"""After that time a server gets one more open request of this daemon each step, until
+the ramp ends."""
 LEAVING_REPORT_S = 10.0
 """How long another daemon's report that a server leaves is believed: it may be of an
 earlier start of the server."""
@@ -34,6 +44,12 @@
     >>> availability.record_failed_connection(10.0)
     >>> [availability.is_open(now_s) for now_s in (10.4, 10.5)]
     [False, True]
+    >>> availability.record_asked_for_time(20.0, 2.0, return_delay_s=0.1)
+    True
+    >>> availability.is_open(22.05), availability.is_open(22.1), availability.returns_s
+    (False, True, 22.1)
+    >>> availability.is_open(22.1, n_open=1), availability.is_open(22.25, n_open=1)
+    (False, True)
     >>> availability.is_leaving = True
     >>> availability.is_open(100.0)
     False
@@ -44,15 +60,34 @@
         self.unavailable_for_s = 0.0
         self._unavailable_until_s = -math.inf
         self._reported_leaving_until_s = -math.inf
+        self._asked_until_s = -math.inf
 
-    def is_open(self, now_s: float) -> bool:
-        """Return whether new work may be sent."""
-        return (
-            not self.is_leaving
-            and now_s >= self._unavailable_until_s
-            and now_s >= self._reported_leaving_until_s
+    @property
+    def returns_s(self) -> float:
+        """When it gets work again; infinite if it leaves."""
+        if self.is_leaving:
+            return math.inf
+        return max(
+            self._unavailable_until_s,
+            self._reported_leaving_until_s,
+            self._asked_until_s,
         )
 
+    def is_open(self, now_s: float, n_open: int = 0) -> bool:
+        """Return whether new work may be sent.
+
+        Parameters
+        ----------
+        now_s : float
+        n_open : int
+            Open requests of this daemon there.
+        """
+        return now_s >= self.returns_s and not self._is_over_ramp(now_s, n_open)
+
+    def _is_over_ramp(self, now_s: float, n_open: int) -> bool:
+        back_for_s = now_s - self._asked_until_s
+        return back_for_s < RAMP_S and n_open > int(back_for_s / RAMP_STEP_S)
+
     def record_success(self) -> None:
         """Record a good answer."""
         self.unavailable_for_s = 0.0
@@ -67,3 +102,37 @@
     def record_leaving_report(self, now_s: float) -> None:
         """Record that the server told another daemon that it leaves."""
         self._reported_leaving_until_s = now_s + LEAVING_REPORT_S
+
+    def record_asked_for_time(
+        self, now_s: float, for_s: float, return_delay_s: float
+    ) -> bool:
+        """Record that the server wants nothing for a while; return whether it is new.
+
+        A shorter time doesn't cut short a longer one.
+
+        Parameters
+        ----------
+        now_s : float
+        for_s : float
+            At most `MAX_ASKED_S` of it count.
+        return_delay_s : float
+            Added to it.
+        """
+        until_s = now_s + min(for_s, MAX_ASKED_S) + return_delay_s
+        if until_s <= self._asked_until_s:
+            return False
+        self._asked_until_s = until_s
+        return True
+
+
+def return_delay_s(for_s: float, fraction: float) -> float:
+    """Return the delay after a time asked for.
+
+    Parameters
+    ----------
+    for_s : float
+    fraction : float
+        Random, 0 to 1.
+    """
+    longest_s = min(MAX_RETURN_DELAY_S, RETURN_DELAY_FRACTION * for_s)
+    return fraction * longest_s
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -1,6 +1,7 @@
 """State of the backend servers of the region as seen by one daemon."""
 
 import collections
+import math
 
 import attrs
 
@@ -268,9 +269,24 @@
             for server in self.servers_of(service)
             if not server.record.is_leaving
             and server.record.domain not in self.evacuated
-            and server.availability.is_open(now_s)
+            and server.availability.is_open(now_s, server.work.local_sums.n_open)
         ]
 
+    def returns_s(self, service: str) -> float:
+        """Return when the first of a service's servers gets work again.
+
+        It is infinite if all leave.
+        """
+        return min(
+            (
+                server.availability.returns_s
+                for server in self.servers_of(service)
+                if not server.record.is_leaving
+                and server.record.domain not in self.evacuated
+            ),
+            default=math.inf,
+        )
+
     def remove_peer(self, vm: str) -> None:
         """Remove the shares that another daemon reported, as its link closed."""
         for server in self.by_id.values():
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -179,6 +179,7 @@
         )
         self.quarantine = quarantine.Quarantine()
         self.lost_servers: list[LostServer] = []
+        self.asked_until_s: dict[str, float] = {}
         self.open_requests: dict[str, OpenRequest] = {}
         self.longest_timeout_s: dict[str, float] = {}
         self.stopping_s: float | None = None
--- /dev/null
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_server_availability.py
@@ -0,0 +1,54 @@
+"""When a server gets new work after what this daemon has met there."""
+
+import math
+
+import pytest
+
+from bilberryridge.decisions.ingress import server_availability
+
+
+@pytest.mark.parametrize(
+    ("first_s", "second_s", "until_s"), [(2.0, 1.0, 12.0), (1.0, 2.0, 12.5)]
+)
+def test_shorter_time_asked_for_does_not_cut_a_longer_one_short(
+    first_s, second_s, until_s
+):
+    tested = server_availability.Availability()
+    tested.record_asked_for_time(10.0, first_s, 0.0)
+    tested.record_asked_for_time(10.5, second_s, 0.0)
+    assert tested.returns_s == until_s
+
+
+def test_time_asked_for_is_capped():
+    tested = server_availability.Availability()
+    tested.record_asked_for_time(10.0, 1e9, 0.0)
+    assert tested.returns_s == 10.0 + server_availability.MAX_ASKED_S
+
+
+def test_success_does_not_end_the_time_asked_for():
+    tested = server_availability.Availability()
+    tested.record_asked_for_time(10.0, 2.0, 0.0)
+    tested.record_success()
+    assert not tested.is_open(11.0)
+
+
+def test_server_returns_by_a_ramp():
+    tested = server_availability.Availability()
+    tested.record_asked_for_time(10.0, 2.0, 0.0)
+    open_at = [
+        max(n for n in range(50) if n == 0 or tested.is_open(now_s, n - 1))
+        for now_s in (12.05, 12.25, 12.95)
+    ]
+    assert open_at == [1, 3, 10]
+    assert tested.is_open(12.0 + server_availability.RAMP_S, 1_000)
+
+
+def test_leaving_server_never_returns():
+    assert server_availability.Availability(is_leaving=True).returns_s == math.inf
+
+
+def test_report_of_another_daemon_that_a_server_leaves_expires():
+    tested = server_availability.Availability()
+    tested.record_leaving_report(10.0)
+    assert not tested.is_open(10.1)
+    assert tested.is_open(10.0 + server_availability.LEAVING_REPORT_S)
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -129,9 +129,11 @@
     def on_head(self, status: int, fields: headers.Fields) -> None:
         """See `upstream.Sink`."""
         self.head = self._read_head(status, fields)
-        if self.head.is_leaving:
+        if self.head.is_leaving or self.head.asked_s is not None:
             self._owner.on_server_said(
-                events.ServerSaid(self._request_id, self.id, is_leaving=True)
+                events.ServerSaid(
+                    self._request_id, self.id, self.head.is_leaving, self.head.asked_s
+                )
             )
         if self.head.kind is dialect.AnswerKind.UNVERIFIED:
             self._fail(events.AttemptResult.SPOILED, "a success without its seal")
--- a/packages/transport/bilberryridge/transport/ingress/dialect.py
+++ b/packages/transport/bilberryridge/transport/ingress/dialect.py
@@ -52,6 +52,8 @@
     retry_after_s : float or None
     is_leaving : bool
         Whether the server says that it leaves.
+    asked_s : float or None
+        Time for which the server wants nothing from this daemon.
     """
 
     status: int
@@ -60,6 +62,7 @@
     load: events.ServerLoad | None = None
     retry_after_s: float | None = None
     is_leaving: bool = False
+    asked_s: float | None = None
 
 
 ReadAnswer = Callable[[int, headers.Fields], AnswerHead]
