--- a/packages/soak/bilberryridge/soak/schedules.py
+++ b/packages/soak/bilberryridge/soak/schedules.py
@@ -26,13 +26,18 @@
     CONFIGURE = "change the routing table"
     STORE_RESTORED = "let the store come back from an older copy"
     SERVER_ENDLESS = "let a backend server send without end"
+    SERVER_BREAKS_OFF = "let an engine break its streams off"
+    SERVER_SAYS_LEAVING = "let a backend server say in its answers that it leaves"
+    SERVICE_BUSY = "let backend servers of a service ask to be left alone"
 
 
 ALL_FAULTS = tuple(Fault)
 FIRST_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(Fault.CONFIGURE) + 1]
 """The kinds from which the schedules of seeds up to 999 are drawn, so that a seed keeps
 its schedule when kinds are added."""
-FIRST_SEED_OF_ALL = 1_000
+SECOND_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(Fault.SERVER_ENDLESS) + 1]
+"""Likewise for the seeds from 1,000 to 1,999."""
+FIRST_SEED_OF_SECOND, FIRST_SEED_OF_ALL = 1_000, 2_000
 
 
 @attrs.frozen
@@ -70,7 +75,7 @@
     True
     """
     random_state = random.Random(seed)
-    kinds = FIRST_FAULTS if seed < FIRST_SEED_OF_ALL else ALL_FAULTS
+    kinds = _kinds_of(seed)
     faults = random_state.sample(kinds, min(len(kinds), max(2, n_steps // 2)))
     end_s = length_s * 2 / 3
     steps = []
@@ -80,3 +85,9 @@
         fault = random_state.choice(faults)
         steps.append(Step(at_s, duration_s, fault, random_state.randrange(1 << 30)))
     return sorted(steps, key=lambda step: step.at_s)
+
+
+def _kinds_of(seed: int) -> tuple[Fault, ...]:
+    if seed < FIRST_SEED_OF_SECOND:
+        return FIRST_FAULTS
+    return SECOND_FAULTS if seed < FIRST_SEED_OF_ALL else ALL_FAULTS
