Callers' connections: an answer without a body keeps its connection

Fault of, found by reading: a 204 or 304 has neither a length nor chunks, so its connection was closed without a word after it, and a request that crossed the close was not answered. Before: test_answer_without_a_body_keeps_the_callers_connection failed at its second request. Change: these statuses mark their end themselves, and an answer that isn't aborted leaves it to the parser's state whether its connection goes on, as before.

--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -16,6 +16,7 @@
 
 from bilberryridge.core import outcomes
 from bilberryridge.transport import (
+    answers,
     connection_owner,
     errors,
     headers,
@@ -132,7 +133,9 @@
         )
         head = self._http.send(answer) or b""
         self._is_chunked = CHUNKED in head.lower()
-        self._is_end_marked = self._is_chunked or LENGTH in head.lower()
+        has_no_body = status in answers.BODILESS_STATUSES
+        has_framing = self._is_chunked or LENGTH in head.lower()
+        self._is_end_marked = has_framing or has_no_body
         if not self._is_end_marked:
             # An orderly close would end the answer, also if this process is killed.
             self._set_linger(RESET_ON_CLOSE)
@@ -268,8 +271,10 @@
         """After an answer, start the next request or close."""
         self._is_answer_finished = False
         if not self._is_end_marked:
-            self._end_with_connection()
-            return
+            if self._is_aborted:
+                self.close()
+                return
+            self._set_linger(CLOSE_IN_ORDER)
         states = {self._http.our_state, self._http.their_state}
         if self._is_stopping or states != {h11.DONE}:
             self._linger()
@@ -283,14 +288,6 @@
             self._set_timer(self._cfg.head_deadline_s, self._on_receive_timeout)
             self._advance()
 
-    def _end_with_connection(self) -> None:
-        """End an answer whose end only that of the connection shows."""
-        if self._is_aborted:
-            self.close()
-            return
-        self._set_linger(CLOSE_IN_ORDER)
-        self._linger()
-
     def _set_linger(self, option: bytes) -> None:
         # A broken socket is noticed at the next write.
         with contextlib.suppress(OSError):
