Crash reports are stored from the second server on

Each crash that a daemon saw took two calls of the store from each of them; in a large region tens of daemons see one, and nearly all crashes have no part in common with another. Links carry each report as before; the store gets those of a part under which a second server has crashed, that of the first included.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -98,7 +98,10 @@
     suspected: list[str] = []
     _change(st, lambda: suspected.extend(st.quarantine.record_sound(parts, now_s)))
     for part in suspected:
-        _tell_all(st, crash_reports.SoundPart(part))
+        st.emit(effects.LogStateChange("crash", f"part {part} is sound"))
+        report = crash_reports.SoundPart(part)
+        _tell_peers(st, report)
+        st.emit(effects.StoreReport(report))
 
 
 def _record_lost(
@@ -132,21 +135,28 @@
     if len(at_once) > MAX_SERVERS_AT_ONCE:
         reports = []
     for report in reports:
-        _change(st, functools.partial(st.quarantine.record_crash, report, now_s))
-        _tell_all(st, report)
-
-
-def _tell_all(st: state.State, report: crash_reports.Report) -> None:
-    """Send a report to all daemons, and to the store for those that start later."""
-    if isinstance(report, crash_reports.CrashReport):
         change = f"{report.server} ended as it began to answer"
         prompts = [sorted(prompt) for prompt in report.prompts]
         st.emit(effects.LogStateChange("crash", change, {"prompts": prompts}))
-    else:
-        st.emit(effects.LogStateChange("crash", f"part {report.part} is sound"))
+        _tell_peers(st, report)
+        st.unstored_reports.append(report)
+        _change(st, functools.partial(st.quarantine.record_crash, report, now_s))
+
+
+def _tell_peers(st: state.State, report: crash_reports.Report) -> None:
     for entry in st.members.linked():
         st.emit(effects.SendPeerMessage(entry.name, report))
-    st.emit(effects.StoreReport(report))
+
+
+def _store_suspected(st: state.State) -> None:
+    """Store this daemon's reports on parts that other servers crashed on as well.
+
+    Calls to the store are limited, and most crashes have no such part.
+    """
+    for report in list(st.unstored_reports):
+        if st.quarantine.is_suspected(report):
+            st.unstored_reports.remove(report)
+            st.emit(effects.StoreReport(report))
 
 
 def _change(st: state.State, action: Callable[[], object]) -> None:
@@ -156,6 +166,7 @@
     after = st.quarantine.signatures
     if after is before:
         return
+    _store_suspected(st)
     for part in sorted(after.keys() - before.keys()):
         log_fields = {"with": sorted(after[part] - {part})}
         change = f"part {part} is held back"
--- a/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
@@ -130,11 +130,7 @@
 
         Only those that lack one crash to a quarantine, or none, are returned.
         """
-        suspected = [
-            part
-            for part in parts
-            if self._n_crashes.get(part, 0) >= CRASHES_TO_QUARANTINE - 1
-        ]
+        suspected = [part for part in parts if self._is_part_suspected(part)]
         is_reported = any(part in self._n_crashes for part in parts)
         for part in parts:
             self._sound_s[part] = now_s
@@ -145,6 +141,14 @@
             self._update()
         return suspected
 
+    def is_suspected(self, report: crash_reports.CrashReport) -> bool:
+        """Return whether a part lacks one crash to a quarantine, or none."""
+        return any(
+            self._is_part_suspected(part)
+            for prompt in report.prompts
+            for part in prompt
+        )
+
     def is_recently_sound(self, part: str, now_s: float) -> bool:
         """Return whether an answer on the part has just gone well here."""
         return now_s - self._sound_s.get(part, -math.inf) < RECENTLY_SOUND_S
@@ -219,6 +223,9 @@
                     suspicion.add(suspects, received.report.server)
         return suspicions
 
+    def _is_part_suspected(self, part: str) -> bool:
+        return self._n_crashes.get(part, 0) >= CRASHES_TO_QUARANTINE - 1
+
     def _is_sound_since(self, part: str, received: _Received) -> bool:
         if self._sound_s.get(part, -math.inf) > received.at_s:
             return True
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -1,5 +1,6 @@
 """State of one ingress node, changed only by its event handlers, on one thread."""
 
+import collections
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -8,6 +9,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    crash_reports,
     effects,
     members,
     quarantine,
@@ -16,6 +18,9 @@
     server_table,
 )
 
+MAX_UNSTORED_REPORTS = 50
+"""Reports of this daemon that are kept until a further crash makes them count."""
+
 
 @attrs.frozen
 class NodeSettings:
@@ -179,6 +184,9 @@
         )
         self.quarantine = quarantine.Quarantine()
         self.lost_servers: list[LostServer] = []
+        self.unstored_reports: collections.deque[crash_reports.CrashReport] = (
+            collections.deque(maxlen=MAX_UNSTORED_REPORTS)
+        )
         self.asked_until_s: dict[str, float] = {}
         self.open_requests: dict[str, OpenRequest] = {}
         self.longest_timeout_s: dict[str, float] = {}
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
@@ -68,15 +68,25 @@
     assert isinstance(play.send("base", "good"), effects.SendToServer)
 
 
-def test_crash_is_told_to_the_other_daemons_and_to_the_store():
+def test_crash_is_told_to_the_other_daemons():
     play = Play()
-    told = play.crash(play.send("base", "bad"))
-    stored, sent = reports_in(told)
-    assert stored == sent
-    [report] = stored
+    _, [report] = reports_in(play.crash(play.send("base", "bad")))
     assert report.prompts == (frozenset(["base", "bad"]),)
 
 
+def test_reports_are_stored_once_a_second_server_crashed_on_the_same_part():
+    play = Play()
+    stored, [first] = reports_in(play.crash(play.send("base", "bad")))
+    assert stored == []
+    stored, [other] = reports_in(play.crash(play.send("c", "d")))
+    assert stored == []
+    stored, [second] = reports_in(play.crash(play.send("bad", "e")))
+    assert stored == [first, second]
+    by_peer = crash_reports.CrashReport("x", "vm-2", (frozenset(["d"]),))
+    stored, _ = reports_in(play.daemon.handle(events.PeerSaid("vm-2", by_peer)))
+    assert stored == [other]
+
+
 def test_prompts_that_others_reported_are_refused_also_when_relayed():
     play = Play()
     for n in range(3):
