--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -23,8 +23,8 @@
         Smoothed fraction of the daemon's attempts there that failed, 0 to 1.
     n_sent_tokens : int
         Prompt tokens sent to the server for prefill since the daemon's start.
-    is_leaving : bool
-        Whether the server has told the daemon that it leaves.
+    leaving_start_ms : int
+        Start time of the server if it has told the daemon that it leaves; 0 otherwise.
     """
 
     n_open: int = 0
@@ -34,7 +34,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     failure_rate: float = 0.0
     n_sent_tokens: int = 0
-    is_leaving: bool = False
+    leaving_start_ms: int = 0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
@@ -18,9 +18,6 @@
 RAMP_S = 1.0
 """After that time a server gets one more open request of this daemon each step, until
 the ramp ends."""
-LEAVING_REPORT_S = 10.0
-"""How long another daemon's report that a server leaves is believed: it may be of an
-earlier start of the server."""
 
 
 class Availability:
@@ -59,7 +56,6 @@
         self.is_leaving = is_leaving
         self.unavailable_for_s = 0.0
         self._unavailable_until_s = -math.inf
-        self._reported_leaving_until_s = -math.inf
         self._asked_until_s = -math.inf
 
     @property
@@ -67,11 +63,7 @@
         """When it gets work again; infinite if it leaves."""
         if self.is_leaving:
             return math.inf
-        return max(
-            self._unavailable_until_s,
-            self._reported_leaving_until_s,
-            self._asked_until_s,
-        )
+        return max(self._unavailable_until_s, self._asked_until_s)
 
     def is_open(self, now_s: float, n_open: int = 0) -> bool:
         """Return whether new work may be sent.
@@ -99,10 +91,6 @@
         )
         self._unavailable_until_s = now_s + self.unavailable_for_s
 
-    def record_leaving_report(self, now_s: float) -> None:
-        """Record that the server told another daemon that it leaves."""
-        self._reported_leaving_until_s = now_s + LEAVING_REPORT_S
-
     def record_asked_for_time(
         self, now_s: float, for_s: float, return_delay_s: float
     ) -> bool:
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -179,7 +179,9 @@
         """Return this daemon's share of the open work."""
         failure_rate = round(self.local_failure_rate(now_s), 1)
         share = self.work.share(parts, failure_rate, self.n_sent_tokens)
-        return attrs.evolve(share, is_leaving=self.availability.is_leaving)
+        if not self.availability.is_leaving:
+            return share
+        return attrs.evolve(share, leaving_start_ms=self.record.start_time_ms)
 
 
 class ServerTable:
@@ -220,7 +222,7 @@
         return changes
 
     def set_leaving(self, server: ServerState) -> None:
-        """Record that a server told this daemon that it leaves.
+        """Record that a server told a daemon of the region that it leaves.
 
         It is remembered for this start of the server, whose entry may lapse and be
         listed again as before.
@@ -304,8 +306,8 @@
                 parts = (ingress.PromptPart(*part) for part in share.parts)
                 server.cache.add(parts, now_s)
                 share = attrs.evolve(share, parts=())
-            if share.is_leaving:
-                server.availability.record_leaving_report(now_s)
+            if 0 < share.leaving_start_ms == server.record.start_time_ms:
+                self.set_leaving(server)
             before = server.work.peer_shares.get(vm)
             if before is not None:
                 n_new = share.n_sent_tokens - before.n_sent_tokens
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -119,7 +119,7 @@
             [list(part) for part in share.parts],
             share.failure_rate,
             share.n_sent_tokens,
-            share.is_leaving,
+            share.leaving_start_ms,
         ]
         for server_id, share in message.by_server.items()
     }
@@ -132,7 +132,7 @@
         parts = tuple((str(part), int(n)) for part, n in share[4])
         n_open, n_pending, n_urgent, n_memory = (int(value) for value in share[:4])
         # A daemon of the build before tells no more than seven values.
-        is_leaving = bool(share[7]) if len(share) > 7 else False
+        leaving_start_ms = int(share[7]) if len(share) > 7 else 0
         by_server[str(server_id)] = load_messages.ServerShare(
             n_open,
             n_pending,
@@ -141,7 +141,7 @@
             parts,
             float(share[5]),
             int(share[6]),
-            is_leaving,
+            leaving_start_ms,
         )
     return load_messages.DaemonLoads(by_server)
 
