Ingress: the rate that a server names is read and logged

'attempt ended' lines have limit_per_s now; no decision uses it. The field isn't passed on to callers.

--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -174,6 +174,8 @@
         False if only the end of the connection showed that of the answer.
     n_incomplete_bytes : int
         Bytes of a stream after its last complete event.
+    limit_per_s : float or None
+        Rate limit that the answer names, for the log.
     """
 
     request_id: str
@@ -192,6 +194,7 @@
     is_disconnected: bool = False
     is_end_marked: bool = True
     n_incomplete_bytes: int = 0
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -243,6 +243,7 @@
             is_disconnected=self._is_disconnected,
             is_end_marked=self._is_end_marked,
             n_incomplete_bytes=len(self._splitter.incomplete),
+            limit_per_s=head.limit_per_s if head else None,
         )
         self._owner.on_ended(self, ended)
 
--- a/packages/transport/bilberryridge/transport/ingress/dialect.py
+++ b/packages/transport/bilberryridge/transport/ingress/dialect.py
@@ -54,6 +54,9 @@
         Whether the server says that it leaves.
     asked_s : float or None
         Time for which the server wants nothing from this daemon.
+    limit_per_s : float or None
+        Requests a second that the server takes from all daemons together; None if it
+        names no limit.
     """
 
     status: int
@@ -63,6 +66,7 @@
     retry_after_s: float | None = None
     is_leaving: bool = False
     asked_s: float | None = None
+    limit_per_s: float | None = None
 
 
 ReadAnswer = Callable[[int, headers.Fields], AnswerHead]
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -279,6 +279,8 @@
         }
         if event.load is not None:
             log_fields["load"] = list(attrs.astuple(event.load))
+        if event.limit_per_s is not None:
+            log_fields["limit_per_s"] = event.limit_per_s
         if event.detail:
             log_fields["detail"] = event.detail
         if not event.is_end_marked:
