Ingress: the rate that a server names is kept by all daemons together

Cause: a bound that a server sets for all daemons together had no place in the code. The header wasn't read, and no daemon knows what others send. Evidence: rates sent don't change when the limit is named, single daemons send three times the limit, and a test fails at a single daemon without a relay.

Change: decisions.ingress.server_limit. Each daemon counts its own requests and those that the region's others report with their loads, and sends while the total is within the rate; an excess is made up for before the next request. Requests of daemons that can't be heard are stood for by weight. The word is told to the others with the loads. A limited server is left out of the choice of a server, so retries, resumed streams and relayed requests are bound as well; where no server is left, callers are refused at once with the time until one takes more.

Why it works: the sum is what is kept, not each daemon's part of it, so what goes over at one moment is missing at the next.

--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -116,12 +116,15 @@
         Whether it leaves and wants no new work.
     asked_s : float or None
         Time for which it wants nothing from this daemon.
+    limit_per_s : float or None
+        Requests a second that it takes from all daemons together; None for no limit.
     """
 
     request_id: str
     attempt_id: int
     is_leaving: bool = False
     asked_s: float | None = None
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -9,6 +9,7 @@
     load_messages,
     prefill_load,
     server_table,
+    server_word_handlers,
     state,
 )
 
@@ -32,6 +33,7 @@
         if event.message.region != st.cfg.local_entry.region:
             st.regions.update(event.message, now_s)
     elif isinstance(event.message, load_messages.DaemonLoads):
+        server_word_handlers.on_shares(st, event.vm, event.message.by_server, now_s)
         st.servers.update_share(event.vm, event.message.by_server, now_s)
     else:
         crash_handlers.on_report(st, event.message, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -25,6 +25,10 @@
         Prompt tokens sent to the server for prefill since the daemon's start.
     leaving_start_ms : int
         Start time of the server if it has told the daemon that it leaves; 0 otherwise.
+    limit_per_s : float or None
+        Rate limit that the server's last answer to the daemon names; None for none.
+    n_limited_sends : int
+        Requests that the daemon sent there under a limit since the last message.
     """
 
     n_open: int = 0
@@ -35,6 +39,8 @@
     failure_rate: float = 0.0
     n_sent_tokens: int = 0
     leaving_start_ms: int = 0
+    limit_per_s: float | None = None
+    n_limited_sends: int = 0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/members.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/members.py
@@ -124,6 +124,12 @@
         names = [e.name for e in self.link_targets(now_s) if e.region == region]
         return sum(name < self.local_entry.name for name in names), 1 + len(names)
 
+    def reach_weight(self, now_s: float) -> float:
+        """Return the region's daemons for each one that this daemon can hear."""
+        region = self.local_entry.region
+        n_heard = 1 + sum(entry.region == region for entry in self.linked())
+        return self.index_in_region(now_s)[1] / n_heard
+
     def n_daemons(self, now_s: float) -> int:
         """Return the number of daemons, including this one."""
         return 1 + len(self.link_targets(now_s))
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -14,6 +14,7 @@
     prefill_load,
     prefix_cache_model,
     server_availability,
+    server_limit,
     warm_up,
 )
 
@@ -71,6 +72,7 @@
         Prompt tokens that this daemon sent there for prefill since its start.
     prefill : PrefillLoad
     availability : Availability
+    limit : ServerLimit
     """
 
     record: ingress.BackendServer
@@ -90,6 +92,7 @@
     availability: server_availability.Availability = attrs.field(
         factory=server_availability.Availability
     )
+    limit: server_limit.ServerLimit = attrs.field(factory=server_limit.ServerLimit)
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
 
@@ -179,9 +182,12 @@
         """Return this daemon's share of the open work."""
         failure_rate = round(self.local_failure_rate(now_s), 1)
         share = self.work.share(parts, failure_rate, self.n_sent_tokens)
-        if not self.availability.is_leaving:
-            return share
-        return attrs.evolve(share, leaving_start_ms=self.record.start_time_ms)
+        start_time_ms = self.record.start_time_ms
+        return attrs.evolve(
+            share,
+            leaving_start_ms=start_time_ms if self.availability.is_leaving else 0,
+            limit_per_s=self.limit.answered_per_s,
+        )
 
 
 class ServerTable:
@@ -272,6 +278,7 @@
             if not server.record.is_leaving
             and server.record.domain not in self.evacuated
             and server.availability.is_open(now_s, server.work.local_sums.n_open)
+            and server.limit.is_open(now_s)
         ]
 
     def returns_s(self, service: str) -> float:
@@ -281,7 +288,7 @@
         """
         return min(
             (
-                server.availability.returns_s
+                max(server.availability.returns_s, server.limit.opens_s)
                 for server in self.servers_of(service)
                 if not server.record.is_leaving
                 and server.record.domain not in self.evacuated
@@ -305,7 +312,7 @@
             if share.parts:
                 parts = (ingress.PromptPart(*part) for part in share.parts)
                 server.cache.add(parts, now_s)
-                share = attrs.evolve(share, parts=())
+            share = attrs.evolve(share, parts=(), n_limited_sends=0)
             if 0 < share.leaving_start_ms == server.record.start_time_ms:
                 self.set_leaving(server)
             before = server.work.peer_shares.get(vm)
@@ -318,12 +325,16 @@
         """Return this daemon's shares that changed since they were last reported."""
         changed = {}
         for server_id, server in self.by_id.items():
-            share = server.local_share(tuple(server.new_parts), now_s)
+            share = attrs.evolve(
+                server.local_share(tuple(server.new_parts), now_s),
+                n_limited_sends=server.limit.n_unreported,
+            )
             if share == server.last_reported:
                 continue
             changed[server_id] = share
             server.new_parts.clear()
-            server.last_reported = attrs.evolve(share, parts=())
+            server.limit.n_unreported = 0
+            server.last_reported = attrs.evolve(share, parts=(), n_limited_sends=0)
         return changed
 
     def all_shares(self, now_s: float) -> dict[str, load_messages.ServerShare]:
@@ -331,7 +342,9 @@
         return {
             server_id: server.local_share((), now_s)
             for server_id, server in self.by_id.items()
-            if server.work.local_attempts or server.availability.is_leaving
+            if server.work.local_attempts
+            or server.availability.is_leaving
+            or server.limit.answered_per_s is not None
         }
 
     def _update_server(
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -1,10 +1,12 @@
 """Handlers of what backend servers say of themselves in their answers."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from bilberryridge.decisions.ingress import (
     effects,
     events,
+    load_messages,
     server_availability,
     server_table,
     state,
@@ -12,7 +14,7 @@
 
 
 def on_server_said(st: state.State, now_s: float, event: events.ServerSaid) -> None:
-    """Put a server aside that leaves or asks for time."""
+    """Put a server aside that leaves or asks for time, and keep its rate limit."""
     item = st.open_requests.get(event.request_id)
     if item is None or item.attempt is None or item.attempt.id != event.attempt_id:
         return
@@ -25,6 +27,26 @@
         _log_put_aside(st, server, {"cause": "leaving", "request": said_to})
     if event.asked_s is not None:
         _record_asked(st, server, event.asked_s, said_to, now_s)
+    _record_limit(st, server, event.limit_per_s, item.attempt.sent_s, said_to, now_s)
+
+
+def on_shares(
+    st: state.State,
+    vm: str,
+    shares: Mapping[str, load_messages.ServerShare],
+    now_s: float,
+) -> None:
+    """Learn limits and the requests under them from a daemon of the region."""
+    for server_id, share in shares.items():
+        server = st.servers.by_id.get(server_id)
+        if server is None:
+            continue
+        before = server.work.peer_shares.get(vm, load_messages.ServerShare())
+        if share.limit_per_s != before.limit_per_s:
+            _change_limit(st, server, share.limit_per_s, now_s, now_s, {"told_by": vm})
+        if share.n_limited_sends > 0:
+            weight = st.members.reach_weight(now_s)
+            server.limit.record_sent_by_others(share.n_limited_sends, now_s, weight)
 
 
 def on_tick(st: state.State, now_s: float) -> None:
@@ -57,6 +79,39 @@
     _log_put_aside(st, server, log_fields)
 
 
+def _record_limit(
+    st: state.State,
+    server: server_table.ServerState,
+    limit_per_s: float | None,
+    sent_s: float,
+    said_to: str,
+    now_s: float,
+) -> None:
+    """Keep the limit that an answer to a request sent at some time names."""
+    _change_limit(st, server, limit_per_s, sent_s, now_s, {"request": said_to})
+    if limit_per_s is not None or server.limit.per_s is None:
+        server.limit.answered_per_s = limit_per_s
+
+
+def _change_limit(
+    st: state.State,
+    server: server_table.ServerState,
+    limit_per_s: float | None,
+    sent_s: float,
+    now_s: float,
+    log_fields: dict[str, Any],
+) -> None:
+    if limit_per_s is None:
+        is_changed = server.limit.record_unnamed(sent_s, now_s)
+        change = f"{server.record.id} names no limit"
+    else:
+        is_changed = server.limit.record_named(limit_per_s, now_s)
+        change = f"{server.record.id} names a limit"
+        log_fields = {"limit_per_s": limit_per_s, **log_fields}
+    if is_changed:
+        st.emit(effects.LogStateChange("server", change, log_fields))
+
+
 def _log_put_aside(
     st: state.State, server: server_table.ServerState, log_fields: dict[str, Any]
 ) -> None:
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -120,6 +120,8 @@
             share.failure_rate,
             share.n_sent_tokens,
             share.leaving_start_ms,
+            share.limit_per_s,
+            share.n_limited_sends,
         ]
         for server_id, share in message.by_server.items()
     }
@@ -131,8 +133,9 @@
     for server_id, share in fields[0].items():
         parts = tuple((str(part), int(n)) for part, n in share[4])
         n_open, n_pending, n_urgent, n_memory = (int(value) for value in share[:4])
-        # A daemon of the build before tells no more than seven values.
+        # Daemons of older builds tell seven or eight values.
         leaving_start_ms = int(share[7]) if len(share) > 7 else 0
+        limit_per_s, n_limited_sends = share[8:10] if len(share) > 9 else (None, 0)
         by_server[str(server_id)] = load_messages.ServerShare(
             n_open,
             n_pending,
@@ -142,6 +145,8 @@
             float(share[5]),
             int(share[6]),
             leaving_start_ms,
+            None if limit_per_s is None else float(limit_per_s),
+            int(n_limited_sends),
         )
     return load_messages.DaemonLoads(by_server)
 
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -9,7 +9,7 @@
 from bilberryridge.store import mirror
 
 SHARE = load_messages.ServerShare(
-    3, 1_200, 200, 4_000, (("p1", 500),), 0.1, 9_000, leaving_start_ms=1_764
+    3, 1_200, 200, 4_000, (("p1", 500),), 0.1, 9_000, 1_764, 2.5, 3
 )
 LOADS = load_messages.DaemonLoads({"s1": SHARE})
 CHANGES = mirror.Changes(
@@ -40,6 +40,14 @@
     assert (changes.has_era, changes.changes.era, changes.since) == (False, 0, 0)
 
 
+@pytest.mark.parametrize("n_fields", [7, 8])
+def test_load_reports_of_older_builds_name_no_limit(n_fields):
+    fields = [3, 1_200, 200, 4_000, [["p1", 500]], 0.1, 9_000, 1_764][:n_fields]
+    loads = link_codec.decode(cbor2.dumps(["domain", {"s1": fields}]))
+    share = loads.by_server["s1"]
+    assert (share.limit_per_s, share.n_limited_sends) == (None, 0)
+
+
 def test_answer_to_the_build_before_has_the_fields_that_it_decodes():
     changes = mirror.Changes(9, (), False)
     encoded = link_codec.encode(link_codec.StoreChanges(changes, True, has_era=False))
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -129,10 +129,14 @@
     def on_head(self, status: int, fields: headers.Fields) -> None:
         """See `upstream.Sink`."""
         self.head = self._read_head(status, fields)
-        if self.head.is_leaving or self.head.asked_s is not None:
+        if self.head.is_own_word:
             self._owner.on_server_said(
                 events.ServerSaid(
-                    self._request_id, self.id, self.head.is_leaving, self.head.asked_s
+                    self._request_id,
+                    self.id,
+                    self.head.is_leaving,
+                    self.head.asked_s,
+                    self.head.limit_per_s,
                 )
             )
         if self.head.kind is dialect.AnswerKind.UNVERIFIED:
--- a/packages/transport/bilberryridge/transport/ingress/dialect.py
+++ b/packages/transport/bilberryridge/transport/ingress/dialect.py
@@ -57,6 +57,9 @@
     limit_per_s : float or None
         Requests a second that the server takes from all daemons together; None if it
         names no limit.
+    is_own_word : bool
+        Whether a backend server itself says so, rather than a daemon or another server
+        at its address.
     """
 
     status: int
@@ -67,6 +70,7 @@
     is_leaving: bool = False
     asked_s: float | None = None
     limit_per_s: float | None = None
+    is_own_word: bool = False
 
 
 ReadAnswer = Callable[[int, headers.Fields], AnswerHead]
