--- a/packages/core/bilberryridge/core/ingress.py
+++ b/packages/core/bilberryridge/core/ingress.py
@@ -311,6 +311,9 @@
         Whether another daemon forwarded it; it is then not forwarded again.
     table_version : int
         Routing table version that the forwarding daemon used; 0 if not relayed.
+    content_id : str
+        The same for all requests with the same caller, target and body; empty if
+        unknown.
     """
 
     id: str
@@ -321,3 +324,4 @@
     prompt: Prompt | None = None
     is_relayed: bool = False
     table_version: int = 0
+    content_id: str = ""
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -57,6 +57,8 @@
         "reading": round(server.prefill.fraction(now_s), 2),
         "fault": round(server.failure_rate(now_s), 2),
     }
+    if item.req.content_id:
+        log_fields["content"] = item.req.content_id
     if prompt is not None:
         shared_ids = [part.id for part in prompt.shared_parts]
         log_fields["parts"] = shared_ids[:MAX_LOGGED_PARTS]
