Ingress: the digest of a request's content leaves out the caller's address

Servers don't see the address, so it can't be what a request does there; one caller may come from several. A daemon that a request is relayed to works the digest out itself, so no field has to be passed on. Log only, as before.

--- a/packages/core/bilberryridge/core/ingress.py
+++ b/packages/core/bilberryridge/core/ingress.py
@@ -312,7 +312,7 @@
     table_version : int
         Routing table version that the forwarding daemon used; 0 if not relayed.
     content_id : str
-        The same for all requests with the same caller, target and body; empty if
+        The same for all requests with the same credentials, target and body; empty if
         unknown.
     """
 
--- a/packages/transport/bilberryridge/transport/headers.py
+++ b/packages/transport/bilberryridge/transport/headers.py
@@ -16,7 +16,6 @@
 OUTCOME = "Bilberryridge-Outcome"
 ENVELOPE = "Bilberryridge-Envelope"
 ENVELOPE_MAC = "Bilberryridge-Envelope-Mac"
-CONTENT_ID = "Bilberryridge-Content-Id"
 BODY_KEPT = "Bilberryridge-Body-Kept"
 PRIVATE_PREFIX = "bilberryridge-"
 
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -37,8 +37,6 @@
     reservation : limits.Reservation
         Bytes reserved for the body; released when the request ends.
     request_id : str
-    content_id : str
-        See `ingress.Request`.
     held_limit : ByteLimit
         Of the bytes of all answers that are held until they are complete.
     """
@@ -54,11 +52,9 @@
         body: bytes,
         reservation: limits.Reservation,
         request_id: str,
-        content_id: str,
         held_limit: limits.ByteLimit,
     ):
         self.request_id = request_id
-        self._content_id = content_id
         self.head = head
         self._loop = loop
         self._pool = pool
@@ -98,7 +94,6 @@
         fields = (
             *self._wire.fields_for_peer(self.head, self._last_event_id),
             (headers.ENVELOPE, relay_envelope.encode(envelope)),
-            (headers.CONTENT_ID, self._content_id),
         )
         address = addresses.split(effect.entry.relay_address)
         self._send(effect, address, fields, self._wire.read_relayed_answer, False)
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -121,11 +121,10 @@
         self._n_requests += 1
         request_id = str(self._n_requests)
         req = self._wire.read_request(head, request_id)
+        content_id = request_content.content_id(head, received.body)
+        req = attrs.evolve(req, content_id=content_id)
         if conn.is_relay:
             req = _with_envelope(req, head)
-        else:
-            content_id = request_content.content_id(conn.address, head, received.body)
-            req = attrs.evolve(req, content_id=content_id)
         ex = exchange.Exchange(
             self._loop,
             self._pool,
@@ -136,7 +135,6 @@
             received.body,
             received.reservation,
             request_id,
-            req.content_id,
             self._held_limit,
         )
         self._exchanges[request_id] = ex
@@ -321,7 +319,6 @@
         caller_timeout_s=min(req.caller_timeout_s, envelope.remaining_s),
         is_relayed=True,
         table_version=envelope.table_version,
-        content_id=headers.find(head.fields, headers.CONTENT_ID),
     )
 
 
--- a/packages/transport/bilberryridge/transport/ingress/request_content.py
+++ b/packages/transport/bilberryridge/transport/ingress/request_content.py
@@ -8,13 +8,14 @@
 DIGEST_BYTES = 16
 
 
-def content_id(caller: str, head: dialect.Head, body: bytes) -> str:
-    """Return a digest of what a caller sends, without the id that each attempt has.
+def content_id(head: dialect.Head, body: bytes) -> str:
+    """Return a digest of credentials, method, host, target and body.
+
+    It leaves out what differs between attempts. The address of the caller is left out
+    as well, as backend servers don't see it.
 
     Parameters
     ----------
-    caller : str
-        Identifies callers that send no credentials.
     head : Head
     body : bytes
 
@@ -22,15 +23,15 @@
     --------
     >>> head = dialect.Head("GET", "/x", (("Host", "a"), ("X-Id", "1")))
     >>> again = dialect.Head("GET", "/x", (("Host", "a"), ("X-Id", "2")))
-    >>> content_id("vm", head, b"") == content_id("vm", again, b"")
+    >>> content_id(head, b"") == content_id(again, b"")
     True
-    >>> content_id("vm", head, b"") == content_id("vm", head, b"1")
+    >>> content_id(head, b"") == content_id(head, b"1")
     False
     """
-    caller = headers.find(head.fields, "authorization") or caller
+    credentials = headers.find(head.fields, "authorization")
     host = headers.find(head.fields, "host").lower()
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for text in (caller, head.method, host, head.target):
+    for text in (credentials, head.method, host, head.target):
         data = text.encode("utf-8", "surrogateescape")
         digest.update(len(data).to_bytes(8, "big") + data)
     digest.update(body)
