Ingress: a request that crashes servers is held back, whatever its id

Callers of app-gare got 503 for seconds, again and again, as all servers of the service were down: one request, sent again by its caller under new ids, ended 14 of them; after the third it still reached servers 7 and 5 times.

Cause: each request was judged by itself. Its id is new each time, and crashes were remembered by prompt part only and only for answers that had begun; a server that crashes before it answers left no trace but a lost attempt. Evidence: the lost attempts have no head and were sent 0.02 to 0.1 s before the end of the server, at most five at once; the test fails also on a route that sends a request to one server only.

Change: decisions.ingress.crashing_requests. A daemon that loses a server tells all others which contents it had there; from the third server on a request is refused at once on every daemon, as not run, until a server has answered it or ten minutes have passed. Reports are stored from the second server on. Connections that end at a server that begins another answer afterwards are no evidence, nor are those of more than two servers at once, unless several had the same request.

Why it works: the count follows what all repeats have in common and what crashes the server, and it is the same on all daemons.

--- a/packages/core/bilberryridge/core/outcomes.py
+++ b/packages/core/bilberryridge/core/outcomes.py
@@ -48,6 +48,7 @@
     TOO_SLOW = "too-slow"
     BUSY = "busy"
     PROMPT_HELD_BACK = "prompt-held-back"
+    REQUEST_HELD_BACK = "request-held-back"
 
 
 STATUS_BY_REASON = {
@@ -74,6 +75,7 @@
     Reason.TOO_SLOW: 408,
     Reason.BUSY: 503,
     Reason.PROMPT_HELD_BACK: 503,
+    Reason.REQUEST_HELD_BACK: 503,
 }
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -1,11 +1,16 @@
-"""Finds prompts under which backend servers crash, and holds such prompts back."""
+"""Finds requests under which backend servers crash, and holds such requests back."""
 
+import collections
 import functools
 from collections.abc import Callable
+from typing import Any
 
-from bilberryridge.core import ingress
+import attrs
+
+from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
     crash_reports,
+    crashing_requests,
     effects,
     events,
     server_table,
@@ -19,9 +24,30 @@
 or link; also the time for which a crash is not reported yet."""
 MAX_SERVERS_AT_ONCE = 2
 """Servers lost at once beyond which their crashes aren't reported."""
+MIN_CRASHES_TO_STORE = 2
+"""Crashes from which on a request's are stored: calls to the store are limited, and
+most crashes have another cause."""
+MIN_SERVERS_AT_ONCE = 2
+"""Of so many servers lost at once, those that had the same request are reported."""
 FIRST_ERROR_STATUS = 300
 
 
+@attrs.frozen
+class HoldBack:
+    """Why a request is held back.
+
+    Parameters
+    ----------
+    reason : outcomes.Reason
+    log_fields : dict
+    for_s : float
+    """
+
+    reason: outcomes.Reason
+    log_fields: dict[str, Any]
+    for_s: float
+
+
 def on_attempt_ended(
     st: state.State,
     item: state.OpenRequest,
@@ -30,18 +56,22 @@
     now_s: float,
 ) -> None:
     """Learn from the end of an attempt at a server."""
-    parts = _shared_ids(item.req)
     server = st.servers.by_id.get(attempt.server_id)
-    if not parts or server is None:
+    if server is None:
         return
+    parts, content_id = _shared_ids(item.req), item.req.content_id
     is_success = 0 < event.status < FIRST_ERROR_STATUS
-    is_answered = event.result is events.AttemptResult.ANSWERED and is_success
-    if is_answered or _is_past_beginning(attempt, now_s):
+    is_answered = event.result is events.AttemptResult.ANSWERED
+    is_past_beginning = _is_past_beginning(attempt, now_s)
+    if (is_answered and is_success) or is_past_beginning:
         _record_sound(st, parts, now_s)
-    if event.is_disconnected:
-        is_beginning = is_success and not _is_past_beginning(attempt, now_s)
-        item.n_lost_beginnings += is_beginning
-        _record_lost(st, server, parts if is_beginning else [], now_s)
+    if is_answered or is_past_beginning:
+        _record_sound_request(st, content_id, now_s)
+    elif event.is_disconnected:
+        # A server that crashes on a request may crash before it answers.
+        is_begun = is_success and bool(parts)
+        item.n_lost_beginnings += is_begun
+        _record_lost(st, server, parts if is_begun else [], content_id, now_s)
 
 
 def on_tick(st: state.State, now_s: float) -> None:
@@ -53,6 +83,7 @@
         if _is_past_beginning(attempt, now_s):
             attempt.is_sound = True
             _record_sound(st, _shared_ids(item.req), now_s)
+            _record_sound_request(st, item.req.content_id, now_s)
     if st.lost_servers and now_s - st.lost_servers[0].at_s >= AT_ONCE_S:
         _report_lost(st, now_s)
     _change(st, lambda: st.quarantine.expire(now_s))
@@ -66,6 +97,9 @@
     """Take a report of another daemon."""
     if isinstance(report, crash_reports.SoundPart):
         _change(st, lambda: st.quarantine.record_sound([report.part], now_s))
+        st.crashing_requests.record_sound(report.part, now_s)
+    elif isinstance(report, crash_reports.CrashedRequests):
+        _record_crashed(st, report, now_s)
     else:
         _change(st, lambda: st.quarantine.record_crash(report, now_s))
 
@@ -77,13 +111,26 @@
     _change(
         st, lambda: st.quarantine.apply_stored(event.stored, event.is_settled, now_s)
     )
+    st.crashing_requests.apply_stored(event.stored, now_s)
 
 
-def find_quarantined(st: state.State, req: ingress.Request) -> str | None:
-    """Return the part for which a request is held back; None if there is none."""
-    if not st.quarantine.signatures:
+def find_hold_back(
+    st: state.State, req: ingress.Request, now_s: float
+) -> HoldBack | None:
+    """Return why a request is held back; None if it is not."""
+    part = None
+    if st.quarantine.signatures:
+        part = st.quarantine.find(_shared_ids(req))
+    if part is not None:
+        for_s = st.quarantine.ends_in_s(part, now_s)
+        return HoldBack(outcomes.Reason.PROMPT_HELD_BACK, {"part": part}, for_s)
+    content_id = req.content_id
+    held_for_s = st.crashing_requests.held_back_for_s(content_id, now_s)
+    if held_for_s is None:
         return None
-    return st.quarantine.find(_shared_ids(req))
+    return HoldBack(
+        outcomes.Reason.REQUEST_HELD_BACK, {"content": content_id}, held_for_s
+    )
 
 
 def _shared_ids(req: ingress.Request) -> list[str]:
@@ -104,15 +151,31 @@
         st.emit(effects.StoreReport(report))
 
 
+def _record_sound_request(st: state.State, content_id: str, now_s: float) -> None:
+    for lost in st.lost_servers:
+        lost.contents.discard(content_id)
+    n_crashes = st.crashing_requests.record_sound(content_id, now_s)
+    if n_crashes >= crashing_requests.CRASHES_TO_HOLD_BACK - 1:
+        st.emit(effects.LogStateChange("crash", f"request {content_id} is sound"))
+        report = crash_reports.SoundPart(content_id)
+        _tell_peers(st, report)
+        st.emit(effects.StoreReport(report))
+
+
 def _record_lost(
-    st: state.State, server: server_table.ServerState, parts: list[str], now_s: float
+    st: state.State,
+    server: server_table.ServerState,
+    parts: list[str],
+    content_id: str,
+    now_s: float,
 ) -> None:
-    record = server.record
-    name = f"{record.id}.{record.start_time_ms}"
+    name = _name_of(server)
     lost = next((lost for lost in st.lost_servers if lost.server == name), None)
     if lost is None:
-        lost = state.LostServer(name, now_s)
+        lost = state.LostServer(name, now_s, server.record.id)
         st.lost_servers.append(lost)
+    if content_id:
+        lost.contents.add(content_id)
     suspects = frozenset(
         part for part in parts if not st.quarantine.is_recently_sound(part, now_s)
     )
@@ -132,7 +195,9 @@
         for lost in at_once
         if lost.prompts
     ]
-    if len(at_once) > MAX_SERVERS_AT_ONCE:
+    is_shared_failure = len(at_once) > MAX_SERVERS_AT_ONCE
+    _report_requests(st, at_once, is_shared_failure, now_s)
+    if is_shared_failure:
         reports = []
     for report in reports:
         change = f"{report.server} ended as it began to answer"
@@ -143,6 +208,67 @@
         _change(st, functools.partial(st.quarantine.record_crash, report, now_s))
 
 
+def _report_requests(
+    st: state.State,
+    at_once: list[state.LostServer],
+    is_shared_failure: bool,
+    now_s: float,
+) -> None:
+    """Report the requests of servers that crashed.
+
+    A failure that servers share has no request as its cause, unless several had it.
+    """
+    crashed = [lost for lost in at_once if not _is_alive(st, lost)]
+    n_servers = collections.Counter(
+        content_id for lost in crashed for content_id in lost.contents
+    )
+    n_min = MIN_SERVERS_AT_ONCE if is_shared_failure else 1
+    for lost in crashed:
+        contents = sorted(c for c in lost.contents if n_servers[c] >= n_min)
+        if not contents:
+            continue
+        report = crash_reports.CrashedRequests(lost.server, tuple(contents))
+        change = f"{lost.server} ended under requests"
+        st.emit(effects.LogStateChange("crash", change, {"contents": contents}))
+        _tell_peers(st, report)
+        for content_id in contents:
+            single = crash_reports.CrashedRequests(lost.server, (content_id,))
+            st.unstored_requests.append(single)
+        _record_crashed(st, report, now_s)
+
+
+def _is_alive(st: state.State, lost: state.LostServer) -> bool:
+    """Return whether a server went on serving this daemon after a lost connection."""
+    server = st.servers.by_id.get(lost.id)
+    if server is None or _name_of(server) != lost.server:
+        return False
+    has_open_answer = any(
+        attempt.has_begun for attempt in server.work.local_attempts.values()
+    )
+    return has_open_answer or server.heard_s > lost.at_s
+
+
+def _name_of(server: server_table.ServerState) -> str:
+    return f"{server.record.id}.{server.record.start_time_ms}"
+
+
+def _record_crashed(
+    st: state.State, report: crash_reports.CrashedRequests, now_s: float
+) -> None:
+    """Count a crash against the requests that a server had."""
+    known = st.crashing_requests
+    for content_id in report.contents:
+        was_held_back = known.held_back_for_s(content_id, now_s) is not None
+        known.record_crash(content_id, report.server, now_s)
+        if not was_held_back and known.held_back_for_s(content_id, now_s) is not None:
+            change = f"request {content_id} is held back"
+            st.emit(effects.LogStateChange("quarantine", change))
+    for single in list(st.unstored_requests):
+        if known.n_crashes(single.contents[0], now_s) >= MIN_CRASHES_TO_STORE:
+            st.unstored_requests.remove(single)
+            st.emit(effects.StoreReport(single))
+
+
 def _tell_peers(st: state.State, report: crash_reports.Report) -> None:
     for entry in st.members.linked():
         st.emit(effects.SendPeerMessage(entry.name, report))
--- a/packages/decisions/bilberryridge/decisions/ingress/crash_reports.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_reports.py
@@ -1,4 +1,4 @@
-"""What daemons tell each other about prompts under which backend servers crash."""
+"""What daemons tell each other about requests under which backend servers crash."""
 
 import attrs
 
@@ -22,14 +22,30 @@
     prompts: tuple[frozenset[str], ...]
 
 
+@attrs.frozen
+class CrashedRequests:
+    """The requests that a backend server had not answered when it crashed.
+
+    Parameters
+    ----------
+    server : str
+        Id and start time of the server.
+    contents : tuple of str
+        See `ingress.Request`.
+    """
+
+    server: str
+    contents: tuple[str, ...]
+
+
 @attrs.frozen
 class SoundPart:
-    """A prompt part under which a server has answered after crashes were reported."""
+    """A prompt part, or the content of a request, answered after reports of crashes."""
 
     part: str
 
 
-Report = CrashReport | SoundPart
+Report = CrashReport | CrashedRequests | SoundPart
 
 
 @attrs.frozen
@@ -40,7 +56,9 @@
     ----------
     crashes : tuple of (CrashReport, int)
     sound_parts : tuple of (SoundPart, int)
+    crashed_requests : tuple of (CrashedRequests, int)
     """
 
     crashes: tuple[tuple[CrashReport, int], ...] = ()
     sound_parts: tuple[tuple[SoundPart, int], ...] = ()
+    crashed_requests: tuple[tuple[CrashedRequests, int], ...] = ()
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -47,6 +47,7 @@
         outcomes.Reason.NO_CAPACITY,
         outcomes.Reason.NO_SERVER,
         outcomes.Reason.PROMPT_HELD_BACK,
+        outcomes.Reason.REQUEST_HELD_BACK,
     ]
 )
 
@@ -136,7 +137,7 @@
 
 
 def on_tick(st: state.State, now_s: float) -> None:
-    """End requests whose deadline has passed, or whose prompt is held back now."""
+    """End requests whose deadline has passed, or which are held back now."""
     for item in list(st.open_requests.values()):
         if now_s < item.deadline_s:
             _recall_held_back(st, item, now_s)
@@ -156,14 +157,14 @@
 
 
 def _recall_held_back(st: state.State, item: state.OpenRequest, now_s: float) -> None:
-    """Call a prompt that is held back now back from the queue of its server."""
+    """Call a request that is held back now back from the queue of its server."""
     if item.attempt is None or item.attempt.begun_s is not None or item.is_detached:
         return
-    part = crash_handlers.find_quarantined(st, item.req)
-    if part is not None:
+    hold_back = crash_handlers.find_hold_back(st, item.req, now_s)
+    if hold_back is not None:
         _cancel_attempt(st, item)
         item.may_have_run = True
-        _hold_back(st, item, part, now_s)
+        _hold_back(st, item, hold_back)
 
 
 def _is_refused_at_stop(req: ingress.Request, stopping_for_s: float) -> bool:
@@ -198,9 +199,9 @@
 
 
 def _place(st: state.State, item: state.OpenRequest, now_s: float) -> None:
-    part = crash_handlers.find_quarantined(st, item.req)
-    if part is not None:
-        _hold_back(st, item, part, now_s)
+    hold_back = crash_handlers.find_hold_back(st, item.req, now_s)
+    if hold_back is not None:
+        _hold_back(st, item, hold_back)
         return
     choice = st.choose(st, item, now_s)
     if isinstance(choice, placement.ServerChoice):
@@ -221,12 +222,10 @@
 
 
 def _hold_back(
-    st: state.State, item: state.OpenRequest, part: str, now_s: float
+    st: state.State, item: state.OpenRequest, hold_back: crash_handlers.HoldBack
 ) -> None:
-    """End a request with a prompt part under which servers crash."""
-    retry_after_s = st.quarantine.ends_in_s(part, now_s)
-    reason = outcomes.Reason.PROMPT_HELD_BACK
-    _give_up(st, item, reason, {"part": part}, retry_after_s)
+    """End a request under which servers crash."""
+    _give_up(st, item, hold_back.reason, hold_back.log_fields, hold_back.for_s)
 
 
 def _record_result(
@@ -333,7 +332,7 @@
         item.n_server_attempts >= item.route.max_attempts
         or item.n_attempts >= MAX_ATTEMPTS
         or item.n_lost_beginnings >= MAX_LOST_BEGINNINGS
-        or crash_handlers.find_quarantined(st, item.req) is not None
+        or crash_handlers.find_hold_back(st, item.req, now_s) is not None
     ):
         return False
     return not item.req.is_relayed and item.deadline_s - now_s > MIN_REMAINING_S
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -73,6 +73,8 @@
     prefill : PrefillLoad
     availability : Availability
     limit : ServerLimit
+    heard_s : float
+        When it last began an answer to this daemon.
     """
 
     record: ingress.BackendServer
@@ -93,6 +95,7 @@
         factory=server_availability.Availability
     )
     limit: server_limit.ServerLimit = attrs.field(factory=server_limit.ServerLimit)
+    heard_s: float = -math.inf
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
 
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -10,6 +10,7 @@
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
     crash_reports,
+    crashing_requests,
     effects,
     members,
     quarantine,
@@ -146,13 +147,18 @@
     ----------
     server : str
     at_s : float
+    id : str
     prompts : list of frozenset of str
         Shared parts of the prompts that it had just begun to answer.
+    contents : set of str
+        Contents of the requests that it had not answered, or just begun to.
     """
 
     server: str
     at_s: float
+    id: str
     prompts: list[frozenset[str]] = attrs.field(factory=list)
+    contents: set[str] = attrs.field(factory=set)
 
 
 PlacementRule = Callable[["State", OpenRequest, float], Any]
@@ -183,6 +189,10 @@
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
         self.quarantine = quarantine.Quarantine()
+        self.crashing_requests = crashing_requests.CrashingRequests()
+        self.unstored_requests: collections.deque[crash_reports.CrashedRequests] = (
+            collections.deque(maxlen=MAX_UNSTORED_REPORTS)
+        )
         self.lost_servers: list[LostServer] = []
         self.unstored_reports: collections.deque[crash_reports.CrashReport] = (
             collections.deque(maxlen=MAX_UNSTORED_REPORTS)
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -241,6 +241,13 @@
     return crash_reports.CrashReport(str(server), str(vm), parts)
 
 
+def _unpack_crashed_requests(fields: list[Any]) -> crash_reports.CrashedRequests:
+    server, contents = fields
+    return crash_reports.CrashedRequests(
+        str(server), tuple(str(content_id) for content_id in contents)
+    )
+
+
 def _unpack_changes_request(fields: list[Any]) -> ChangesRequest:
     revision, *era = fields
     return ChangesRequest(int(revision), int(era[0]) if era else None)
@@ -257,6 +264,10 @@
     load_messages.RegionLoads: ("region", _pack_region_loads),
     StoreChanges: ("changes", _pack_changes),
     crash_reports.CrashReport: ("crash", _pack_crash_report),
+    crash_reports.CrashedRequests: (
+        "crashed",
+        lambda report: [report.server, list(report.contents)],
+    ),
     crash_reports.SoundPart: ("sound", lambda report: [report.part]),
     store_watchers.StorePosition: (
         "position",
@@ -275,6 +286,7 @@
     "region": _unpack_region_loads,
     "changes": _unpack_changes,
     "crash": _unpack_crash_report,
+    "crashed": _unpack_crashed_requests,
     "sound": lambda fields: crash_reports.SoundPart(str(fields[0])),
     "position": _unpack_position,
 }
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -26,6 +26,7 @@
         link_codec.ChangesRequest(9, 4),
         link_codec.StoreChanges(CHANGES, True, since=7),
         crash_reports.CrashReport("s1.5", "vm-1", (frozenset("ab"), frozenset("c"))),
+        crash_reports.CrashedRequests("s1.5", ("c1", "c2")),
         crash_reports.SoundPart("a"),
     ],
 )
