Streams: what an event's id says doesn't depend on how the bytes are cut

The exchange then kept an older id, so that a resumed stream sent event 7 twice.

Decided from the format's definition: an id field sets the last id, an empty one sets it to nothing, one with NUL is ignored, an event without one leaves it. Where nothing is left, or an id can't be sent in a header field, the position of the stream isn't known and it is cut instead of resumed.

Also mended: line ends of two kinds in a row didn't end an event, 'id' without a colon wasn't read, a byte-order mark at the start hid the first id. The end of an event is still not seen in the first half of a CRLF.

The own interface and the stand-ins' readers look at the end marker only, not at ids.

--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -177,6 +177,8 @@
         False if only the end of the connection showed that of the answer.
     n_incomplete_bytes : int
         Bytes of a stream after its last complete event.
+    is_position_known : bool
+        False if events were passed on and no id tells where to resume the stream.
     limit_per_s : float or None
         Rate limit that the answer names, for the log.
     """
@@ -197,6 +199,7 @@
     is_disconnected: bool = False
     is_end_marked: bool = True
     n_incomplete_bytes: int = 0
+    is_position_known: bool = True
     limit_per_s: float | None = None
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -301,10 +301,13 @@
 def _on_lost(
     st: state.State, item: state.OpenRequest, event: events.AttemptEnded, now_s: float
 ) -> None:
-    if item.route.is_repeatable and _reserve_retry(st, item, now_s):
+    can_repeat = item.route.is_repeatable and event.is_position_known
+    if can_repeat and _reserve_retry(st, item, now_s):
         _place(st, item, now_s)
         return
-    log_fields = {"result": event.result.value}
+    log_fields: dict[str, Any] = {"result": event.result.value}
+    if not event.is_position_known:
+        log_fields["position"] = "unknown"
     _give_up(st, item, outcomes.Reason.ANSWER_LOST, log_fields, None)
 
 
--- a/packages/transport/bilberryridge/transport/ingress/event_stream.py
+++ b/packages/transport/bilberryridge/transport/ingress/event_stream.py
@@ -12,9 +12,15 @@
 from bilberryridge.transport import errors
 from bilberryridge.transport.ingress import answer_bounds
 
-_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# A blank line: a line end after a line end. What follows a carriage return is waited
+# for, as it may be the second half of a line end, unless the line before ends with one.
+_END = re.compile(rb"\r(?:\r\n|\r)|(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))")
 _MAX_END_BYTES = 4
-_ID = re.compile(rb"(?:^|\r\n|\n|\r)id: ?([^\r\n]*)")
+_ID = re.compile(rb"(?:^|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+_FIELD_VALUE = re.compile(
+    r"[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?"
+)
 
 
 @attrs.frozen
@@ -25,13 +31,14 @@
     ----------
     data : bytes
         The events, byte for byte.
-    last_id : str
-        Id of the last event that has one; empty if none has.
+    last_id : str or None
+        Id that the last event with an id field sets: empty if the field is empty or
+        can't be sent in a header field, None if no event has one.
     n_events : int
     """
 
     data: bytes
-    last_id: str
+    last_id: str | None
     n_events: int
 
 
@@ -51,6 +58,8 @@
 
     def __init__(self) -> None:
         self._held = bytearray()
+        self._is_at_start = True
+        self._is_line_end_split = False
 
     @property
     def incomplete(self) -> bytes:
@@ -70,6 +79,11 @@
         errors.AnswerBoundError
             An event is longer than `answer_bounds.MAX_EVENT_BYTES`.
         """
+        if self._is_line_end_split and data:
+            self._is_line_end_split = False
+            if data[:1] == b"\n":
+                following = self.feed(data[1:])
+                return attrs.evolve(following, data=b"\n" + following.data)
         # The bytes held before have no event's end, but may have the start of one.
         search_from = max(0, len(self._held) - _MAX_END_BYTES + 1)
         self._held += data
@@ -79,6 +93,15 @@
         del received[: len(complete)]
         if len(received) > answer_bounds.MAX_EVENT_BYTES:
             raise errors.AnswerBoundError(f"{len(received)} bytes without an event")
-        ids = _ID.findall(complete)
-        last_id = ids[-1].decode("latin-1") if ids else ""
-        return Events(complete, last_id, len(ends))
+        self._is_line_end_split = not received and complete.endswith(b"\r")
+        return Events(complete, self._last_id(complete), len(ends))
+
+    def _last_id(self, complete: bytes) -> str | None:
+        if self._is_at_start and complete:
+            self._is_at_start = False
+            complete = complete.removeprefix(_BYTE_ORDER_MARK)
+        ids = [event_id for event_id in _ID.findall(complete) if b"\0" not in event_id]
+        if not ids:
+            return None
+        last_id = ids[-1].decode("latin-1")
+        return last_id if _FIELD_VALUE.fullmatch(last_id) else ""
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -161,10 +161,13 @@
         )
         self._post(began)
 
-    def on_events(self, source: attempt.Attempt, data: bytes, last_id: str) -> None:
+    def on_events(
+        self, source: attempt.Attempt, data: bytes, last_id: str | None
+    ) -> None:
         """See `attempt.Owner`."""
         self._commit(source)
-        self._last_event_id = last_id or self._last_event_id
+        if last_id is not None:
+            self._last_event_id = last_id
         if self._conn is None:
             return
         self._conn.send(data)
@@ -178,7 +181,11 @@
             if self._conn is not None:
                 self._conn.finish()
                 self._conn = None
-        ended = attrs.evolve(ended, is_committed=self._is_committed)
+        ended = attrs.evolve(
+            ended,
+            is_committed=self._is_committed,
+            is_position_known=not self._is_committed or bool(self._last_event_id),
+        )
         self._post(ended)
 
     def _commit(self, source: attempt.Attempt) -> None:
--- a/packages/transport/bilberryridge/transport/ingress/tests/test_event_stream.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_event_stream.py
@@ -18,6 +18,9 @@
             b"\r\n",
             b"id: 7",
             b"id:",
+            b"id",
+            b"id: 8\x00",
+            b"\xef\xbb\xbf",
             b"data: a",
             b":",
             b"\x00\xff",
@@ -32,7 +35,7 @@
     """Return the bytes, the last id and the number of all complete events."""
     splitter = event_stream.EventSplitter()
     fed = [splitter.feed(piece) for piece in pieces]
-    ids = [events.last_id for events in fed if events.last_id]
+    ids = [events.last_id for events in fed if events.last_id is not None]
     data = b"".join(events.data for events in fed)
     n_events = sum(events.n_events for events in fed)
     return data, ids[-1:], n_events, splitter.incomplete
@@ -67,6 +70,36 @@
     assert (events.last_id, events.n_events) == ("2", 3)
 
 
+@pytest.mark.parametrize(
+    ("text", "last_id"),
+    [
+        (b"id: 7\n\nid:\n\n", ""),
+        (b"id: 7\n\nid\n\n", ""),
+        (b"id: 7\n\nid: \n\n", ""),
+        (b"id: 7\n\n: comment\n\n", "7"),
+        (b"id: 7\n\nid: 8\x00\n\n", "7"),
+        (b"id: 7\n\nidx: 8\n\n", "7"),
+        (b"id: 7\n\ndata: id: 8\n\n", "7"),
+        (b"id:7\ndata: a\n\n", "7"),
+        (b"id: 7\nid: 8\n\n", "8"),
+        (b"id:  7 8\n\n", ""),
+        (b"id: 7 8\n\n", "7 8"),
+        (b"id: \x01\n\n", ""),
+        (b"\xef\xbb\xbfid: 7\n\n", "7"),
+        (b"data: a\n\n\xef\xbb\xbfid: 7\n\n", None),
+        (b"data: a\n\n", None),
+        (b"id: 7\r\n\r\nid: 8\n\r\n", "8"),
+        (b"id: 7\n\rid: 8\n\n", "8"),
+        (b"id: 7\r\n\r\nid: 8\r\n\r", "7"),
+    ],
+)
+def test_last_id_is_the_one_that_the_format_defines_however_it_is_cut(text, last_id):
+    ids = [last_id] if last_id is not None else []
+    for size in range(1, len(text) + 1):
+        pieces = (text[n : n + size] for n in range(0, len(text), size))
+        assert feed_all(pieces)[1] == ids
+
+
 @pytest.mark.parametrize("n_piece_bytes", [1, 100, 64 << 10])
 def test_bytes_without_an_event_are_refused_within_the_bound(n_piece_bytes):
     splitter = event_stream.EventSplitter()
