Streams: comments and blank events leave a stream at its beginning

An event without a data field is none to the caller, so the position is unknown only once an event with data was passed on.

--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -40,8 +40,8 @@
     def on_begun(self, attempt: "Attempt") -> None:
         """The first bytes of an answer were received."""
 
-    def on_events(self, attempt: "Attempt", data: bytes, last_id: str | None) -> None:
-        """Forward complete events of a stream; see `event_stream.Events`."""
+    def on_events(self, attempt: "Attempt", complete: event_stream.Events) -> None:
+        """Forward complete events of a stream."""
 
     def on_ended(self, attempt: "Attempt", ended: events.AttemptEnded) -> None:
         """Report the result to the node; end the answer of a complete stream."""
@@ -171,7 +171,7 @@
             self._set_timer(self._stall_timeout_s)
             self._begin()
             self._n_events += complete.n_events
-            self._owner.on_events(self, complete.data, complete.last_id)
+            self._owner.on_events(self, complete)
 
     def on_end(self, is_end_marked: bool) -> None:
         """See `upstream.Sink`."""
@@ -193,7 +193,7 @@
     def _finish_stream(self) -> None:
         blank_lines = self._splitter.incomplete
         if blank_lines:
-            self._owner.on_events(self, blank_lines, None)
+            self._owner.on_events(self, event_stream.Events(blank_lines))
         self._report(events.AttemptResult.ANSWERED)
 
     def on_failed(self, failure: upstream.Failure, detail: str) -> None:
--- a/packages/transport/bilberryridge/transport/ingress/event_stream.py
+++ b/packages/transport/bilberryridge/transport/ingress/event_stream.py
@@ -17,6 +17,7 @@
 _END = re.compile(rb"\r(?:\r\n|\r)|(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))")
 _MAX_END_BYTES = 4
 _ID = re.compile(rb"(?:^|[\r\n])id(?:: ?([^\r\n]*))?(?=[\r\n])")
+_DATA = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n])")
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 _FIELD_VALUE = re.compile(
     r"[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?"
@@ -35,11 +36,14 @@
         Id that the last event with an id field sets: empty if the field is empty or
         can't be sent in a header field, None if no event has one.
     n_events : int
+    has_data : bool
+        Whether any has a data field; others are no events to the caller.
     """
 
     data: bytes
-    last_id: str | None
-    n_events: int
+    last_id: str | None = None
+    n_events: int = 0
+    has_data: bool = False
 
 
 class EventSplitter:
@@ -49,7 +53,7 @@
     --------
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    Events(data=b'id: 1\\ndata: a\\n\\n', last_id='1', n_events=1)
+    Events(data=b'id: 1\\ndata: a\\n\\n', last_id='1', n_events=1, has_data=True)
     >>> splitter.incomplete
     b'id: 2\\nda'
     >>> splitter.is_inside_event
@@ -94,14 +98,17 @@
         if len(received) > answer_bounds.MAX_EVENT_BYTES:
             raise errors.AnswerBoundError(f"{len(received)} bytes without an event")
         self._is_line_end_split = not received and complete.endswith(b"\r")
-        return Events(complete, self._last_id(complete), len(ends))
-
-    def _last_id(self, complete: bytes) -> str | None:
+        fields = complete
         if self._is_at_start and complete:
             self._is_at_start = False
-            complete = complete.removeprefix(_BYTE_ORDER_MARK)
-        ids = [event_id for event_id in _ID.findall(complete) if b"\0" not in event_id]
-        if not ids:
-            return None
-        last_id = ids[-1].decode("latin-1")
-        return last_id if _FIELD_VALUE.fullmatch(last_id) else ""
+            fields = complete.removeprefix(_BYTE_ORDER_MARK)
+        has_data = _DATA.search(fields) is not None
+        return Events(complete, _last_id(fields), len(ends), has_data)
+
+
+def _last_id(fields: bytes) -> str | None:
+    ids = [event_id for event_id in _ID.findall(fields) if b"\0" not in event_id]
+    if not ids:
+        return None
+    last_id = ids[-1].decode("latin-1")
+    return last_id if _FIELD_VALUE.fullmatch(last_id) else ""
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -12,6 +12,7 @@
     connection_pool,
     dialect,
     event_loop,
+    event_stream,
     relay_envelope,
 )
 from bilberryridge.utilities import addresses
@@ -67,6 +68,7 @@
         self._attempt: attempt.Attempt | None = None
         self._last_event_id = ""
         self._is_committed = False
+        self._has_passed_data = False
 
     @property
     def conn(self) -> connection.Connection | None:
@@ -161,16 +163,15 @@
         )
         self._post(began)
 
-    def on_events(
-        self, source: attempt.Attempt, data: bytes, last_id: str | None
-    ) -> None:
+    def on_events(self, source: attempt.Attempt, complete: event_stream.Events) -> None:
         """See `attempt.Owner`."""
         self._commit(source)
-        if last_id is not None:
-            self._last_event_id = last_id
+        self._has_passed_data = self._has_passed_data or complete.has_data
+        if complete.last_id is not None:
+            self._last_event_id = complete.last_id
         if self._conn is None:
             return
-        self._conn.send(data)
+        self._conn.send(complete.data)
         if self._conn.is_full and source.conn is not None:
             source.conn.pause()
 
@@ -184,7 +185,7 @@
         ended = attrs.evolve(
             ended,
             is_committed=self._is_committed,
-            is_position_known=not self._is_committed or bool(self._last_event_id),
+            is_position_known=not self._has_passed_data or bool(self._last_event_id),
         )
         self._post(ended)
 
--- a/packages/transport/bilberryridge/transport/ingress/tests/test_attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_attempt.py
@@ -26,8 +26,8 @@
     def on_begun(self, source):
         pass
 
-    def on_events(self, source, data, last_id):
-        self.data += data
+    def on_events(self, source, complete):
+        self.data += complete.data
 
     def on_ended(self, source, ended):
         self.ended = ended
