Loads: a request at a forgotten server doesn't count at its next start

A request that was open at a server when it was forgotten counted as ended at the server's next state under that name: -1 open requests, an estimate of -1 busy slots, so that the server looked emptier than any other. Open requests keep the state that they were counted at.

--- a/packages/decisions/bilberryridge/decisions/loads.py
+++ b/packages/decisions/bilberryridge/decisions/loads.py
@@ -52,7 +52,7 @@
 
 @attrs.define
 class _OpenRequest:
-    server: str
+    state: server_state.Server
     sent_s: float
     priority: requests.Priority
     n_output_tokens: int = 0
@@ -137,8 +137,8 @@
         self.on_ended(now_s, request_id, None)
         if len(self._open) >= MAX_OPEN:
             self.on_ended(now_s, next(iter(self._open)), None)
-        self._open[request_id] = _OpenRequest(server, now_s, priority, n_output_tokens)
         state = self.server(server)
+        self._open[request_id] = _OpenRequest(state, now_s, priority, n_output_tokens)
         state.n_open_tokens += n_output_tokens
         state.record_change(now_s, 1)
         state.add_pending(request_id, server_state.Pending(now_s, n_prefill_tokens))
@@ -149,7 +149,7 @@
         if item is None or item.has_begun:
             return
         item.has_begun = True
-        state = self.server(item.server)
+        state = item.state
         state.drop_pending(request_id)
         state.health.record_wait(now_s, waited_s)
 
@@ -163,12 +163,14 @@
             or the server refused because it was full.
         """
         item = self._open.pop(request_id, None)
-        state = None if item is None else self._servers.get(item.server)
-        if item is None or state is None:
+        if item is None:
             return
+        state = item.state
         state.record_change(now_s, -1)
         state.n_open_tokens -= item.n_output_tokens
         state.drop_pending(request_id)
+        if state.is_forgotten:
+            return
         if is_success:
             self._record_hold(state.pool, now_s - item.sent_s, item.n_output_tokens)
             state.health.record_success(now_s, item.sent_s)
@@ -259,6 +261,7 @@
         """Drop the state of a server that was removed."""
         state = self._servers.pop(server, None)
         if state is not None:
+            state.is_forgotten = True
             self._leave_pool(server, state)
 
     def _pool(self, name: str) -> server_state.Pool:
--- a/packages/decisions/bilberryridge/decisions/server_state.py
+++ b/packages/decisions/bilberryridge/decisions/server_state.py
@@ -56,6 +56,7 @@
     pending: dict[str, Pending] = attrs.field(factory=dict)
     n_pending_tokens: int = 0
     health: healths.Health = attrs.field(factory=healths.Health)
+    is_forgotten: bool = False
 
     def record_change(self, now_s: float, delta: int) -> None:
         """Record a request of this daemon that was sent (1) or ended (-1) here."""
