Tests: one profile for all property tests, and make fuzz with fresh seeds

One test drew anew on each run, so that make test failed at random. Profiles are registered by an entry point of hypothesis, so that no test file has to load one: repeatable (derandomized, no database, no deadline), and fresh, which make fuzz uses. make check fails if a test file sets what a profile sets.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core utilities decisions configuration store peers transport daemon command standins soak
 KEEP ?=
+SECONDS ?= 300
 
-.PHONY: setup demo test check unit scenarios bench bench-quick format clean
+.PHONY: setup demo test check unit scenarios fuzz bench bench-quick format clean
 
 setup: $(STAMP)
 
@@ -22,6 +23,7 @@
 	$(BIN)/mypy packages
 	MYPYPATH=platform $(BIN)/mypy platform
 	$(BIN)/python -m bilberryridge.standins.purity
+	$(BIN)/python -m bilberryridge.standins.property_checks
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest -n 4
@@ -32,6 +34,9 @@
 
 test: check unit scenarios
 
+fuzz: $(STAMP)
+	$(BIN)/python -m bilberryridge.standins.fuzz $(SECONDS)
+
 demo: $(STAMP)
 	$(BIN)/python -m bilberryridge.standins.demo $(if $(KEEP),--keep)
 
--- a/packages/configuration/bilberryridge/configuration/tests/test_settings.py
+++ b/packages/configuration/bilberryridge/configuration/tests/test_settings.py
@@ -120,7 +120,7 @@
 PIECES = st.sampled_from(WORDS.split()) | st.sampled_from(MARKS)
 
 
-@hypothesis.settings(derandomize=True, max_examples=300, deadline=None, database=None)
+@hypothesis.settings(max_examples=300)
 @hypothesis.given(
     start=st.integers(0, len(GOOD)),
     n_removed=st.integers(0, 40),
--- a/packages/decisions/bilberryridge/decisions/tests/test_admission.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_admission.py
@@ -201,7 +201,7 @@
 )
 
 
-@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.settings(max_examples=200)
 @hypothesis.given(STEPS)
 def test_each_request_is_in_one_place_and_none_is_lost(steps):
     queue = make(max_queued=12, max_queued_per_organisation=5)
--- a/packages/decisions/bilberryridge/decisions/tests/test_at_most_once_machine.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_at_most_once_machine.py
@@ -103,7 +103,5 @@
 TestAtMostOnceMachine.settings = hypothesis.settings(
     max_examples=150,
     stateful_step_count=40,
-    derandomize=True,
-    deadline=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
--- a/packages/decisions/bilberryridge/decisions/tests/test_placement.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_placement.py
@@ -197,7 +197,7 @@
     assert choose(load_table, make_servers(2)) is not None
 
 
-@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.settings(max_examples=200)
 @hypothesis.given(
     n_running=st.lists(st.integers(0, 14), min_size=1, max_size=40),
     barred=st.sets(st.integers(0, 39)),
--- a/packages/decisions/bilberryridge/decisions/tests/test_prefixes.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_prefixes.py
@@ -39,7 +39,7 @@
     assert table.cached_blocks((1, 2)) == {}
 
 
-@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.settings(max_examples=100)
 @hypothesis.given(st.integers(1, 60), st.integers(0, 2**32))
 def test_table_is_bounded_and_keeps_short_prefixes_longest(bound, seed):
     random_state = random.Random(seed)
--- a/packages/decisions/bilberryridge/decisions/tests/test_replica.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_replica.py
@@ -55,7 +55,7 @@
     assert local.is_covered_by(versions) is is_covered
 
 
-@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.settings(max_examples=60)
 @hypothesis.given(
     st.lists(st.tuples(st.integers(0, 9), st.integers(0, 3)), min_size=1, max_size=60),
     st.integers(1, 12),
--- a/packages/decisions/bilberryridge/decisions/tests/test_retries.py
+++ b/packages/decisions/bilberryridge/decisions/tests/test_retries.py
@@ -8,7 +8,7 @@
 from bilberryridge.decisions import retries
 
 
-@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.settings(max_examples=200)
 @hypothesis.given(st.lists(st.booleans(), max_size=400))
 def test_retries_are_at_most_a_tenth_of_first_attempts(steps):
     budget = retries.RetryBudget()
--- a/packages/peers/bilberryridge/peers/tests/test_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_codec.py
@@ -99,9 +99,7 @@
         codec.encode(frame(body))
 
 
-bounded = hypothesis.settings(
-    derandomize=True, max_examples=300, deadline=None, database=None
-)
+bounded = hypothesis.settings(max_examples=300)
 anything = strategies.recursive(
     strategies.none()
     | strategies.booleans()
