Ingress: a server that asks for more than 30 s gets two requests at most in it

Time asked for is obeyed up to 10 min now, with a request after 30 s and one after 60 s, whatever they bring; a new time asked for doesn't give new ones before the old ones are past. What it costs: a server that asks for a long time by mistake is back later, up to 10 min, where it was back after 30 s.

The test of the cap keeps its figure of 30 s until the first request, under a new name.

--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -42,6 +42,7 @@
         server.new_parts += [(part.id, part.n_tokens) for part in prompt.parts]
     if server.is_cold(now_s):
         server.warm_up_gate.record_send(now_s)
+    server.availability.record_sent(now_s)
     if server.limit.per_s is not None:
         _, n_daemons = st.members.index_in_region(now_s)
         server.limit.record_sent(now_s, st.members.reach_weight(now_s), n_daemons)
--- a/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
@@ -3,14 +3,18 @@
 The server's registration in the store is judged elsewhere; both must allow a request.
 """
 
+import collections
 import math
 
 FIRST_UNAVAILABLE_S, MAX_UNAVAILABLE_S = 0.5, 4.0
 """How long a server is not used after a failed connection; doubled with each failure up
 to the maximum."""
-MAX_ASKED_S = 30.0
-"""Longest time for which a server that asks to be left alone is; one that always asks
-for longer gets a request each time that this has passed."""
+MAX_ASKED_S = 600.0
+"""Longest time for which a server that asks to be left alone is."""
+TRY_AFTER_S = 30.0
+MAX_TRIES = 2
+"""In that time a server gets a request each time that `TRY_AFTER_S` has passed, but no
+more than `MAX_TRIES`. The answer may ask for a new time; a good one doesn't end it."""
 MAX_RETURN_DELAY_S, RETURN_DELAY_FRACTION = 0.5, 0.2
 """Upper bound of the random delay after the time asked for, and fraction of that time:
 daemons don't come back at the same moment."""
@@ -57,13 +61,22 @@
         self.unavailable_for_s = 0.0
         self._unavailable_until_s = -math.inf
         self._asked_until_s = -math.inf
+        self._asked_s = 0.0
+        self._try_s = math.inf
+        self._tried_s: collections.deque[float] = collections.deque(maxlen=MAX_TRIES)
 
     @property
     def returns_s(self) -> float:
-        """When it gets work again; infinite if it leaves."""
+        """When it gets a request again; infinite if it leaves."""
         if self.is_leaving:
             return math.inf
-        return max(self._unavailable_until_s, self._asked_until_s)
+        asked_until_s = min(self._asked_until_s, self._next_try_s)
+        return max(self._unavailable_until_s, asked_until_s)
+
+    @property
+    def asked_until_s(self) -> float:
+        """End of the time that it asked for."""
+        return self._asked_until_s
 
     def is_open(self, now_s: float, n_open: int = 0) -> bool:
         """Return whether new work may be sent.
@@ -74,7 +87,17 @@
         n_open : int
             Open requests of this daemon there.
         """
-        return now_s >= self.returns_s and not self._is_over_ramp(now_s, n_open)
+        if now_s < self.returns_s:
+            return False
+        if now_s < self._asked_until_s:
+            return n_open == 0
+        return not self._is_over_ramp(now_s, n_open)
+
+    @property
+    def _next_try_s(self) -> float:
+        if len(self._tried_s) < MAX_TRIES:
+            return self._try_s
+        return max(self._try_s, self._tried_s[0] + self._asked_s)
 
     def _is_over_ramp(self, now_s: float, n_open: int) -> bool:
         back_for_s = now_s - self._asked_until_s
@@ -106,12 +129,21 @@
         return_delay_s : float
             Added to it.
         """
-        until_s = now_s + min(for_s, MAX_ASKED_S) + return_delay_s
+        asked_s = min(for_s, MAX_ASKED_S)
+        until_s = now_s + asked_s + return_delay_s
         if until_s <= self._asked_until_s:
             return False
         self._asked_until_s = until_s
+        self._asked_s = asked_s
+        self._try_s = now_s + TRY_AFTER_S
         return True
 
+    def record_sent(self, now_s: float) -> None:
+        """Record a request."""
+        if now_s < self._asked_until_s:
+            self._tried_s.append(now_s)
+            self._try_s = now_s + TRY_AFTER_S
+
 
 def return_delay_s(for_s: float, fraction: float) -> float:
     """Return the delay after a time asked for.
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -69,13 +69,12 @@
     delay_s = server_availability.return_delay_s(asked_s, st.random_state.random())
     if not server.availability.record_asked_for_time(now_s, asked_s, delay_s):
         return
-    until_s = server.availability.returns_s
-    st.asked_until_s[server.record.id] = until_s
+    st.asked_until_s[server.record.id] = server.availability.asked_until_s
     log_fields = {
         "cause": "asked for time",
         "request": said_to,
         "asked_s": round(asked_s, 2),
-        "for_s": round(until_s - now_s, 2),
+        "for_s": round(server.availability.returns_s - now_s, 2),
     }
     _log_put_aside(st, server, log_fields)
 
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_server_availability.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_server_availability.py
@@ -28,7 +28,33 @@
 def test_time_asked_for_is_capped():
     tested = server_availability.Availability()
     tested.record_asked_for_time(10.0, 1e9, 0.0)
-    assert tested.returns_s == 10.0 + server_availability.MAX_ASKED_S
+    assert tested.returns_s == 10.0 + server_availability.TRY_AFTER_S
+
+
+@pytest.mark.parametrize("asked_s", [20.0, 40.0, 100.0, 500.0])
+@pytest.mark.parametrize("n_busy_answers", [1, 1_000])
+def test_server_gets_two_requests_at_most_in_the_time_it_asked_for(
+    asked_s, n_busy_answers
+):
+    daemon = deployment.Daemon(servers=[deployment.server("a")])
+    sent_s, asked_at_s = [], []
+    for n in range(int(1.5 * asked_s)):
+        daemon.tick(1.0)
+        sent = daemon.arrive(str(n), "unsafe")
+        if not isinstance(sent, effects.SendToServer):
+            continue
+        sent_s.append(daemon.now_s)
+        if len(sent_s) > n_busy_answers:
+            daemon.end(sent, "answered", status=200)
+            continue
+        asked_at_s.append(daemon.now_s)
+        ids = (sent.request_id, sent.attempt_id)
+        daemon.handle(events.ServerSaid(*ids, asked_s=asked_s))
+        daemon.end(sent, "not run", status=503)
+    assert len([x for x in sent_s if x < sent_s[0] + max(asked_s, 35.0)]) > 1
+    for at_s in asked_at_s:
+        in_its_time = [x for x in sent_s if at_s + 0.5 < x < at_s + asked_s]
+        assert len(in_its_time) <= 2
 
 
 def test_success_does_not_end_the_time_asked_for():
