Ingress: a request that many send alike isn't held back for minutes by mistake

Found by reading again: a look-up that many callers send alike, without credentials, is in flight at each server that ends for whatever reason. Three servers ended within a while and no answer between them would have held it back everywhere for ten minutes, and as nothing was sent no answer could clear it.

A request that this daemon saw answered within the last 30 s isn't reported, and one daemon, chosen by rendezvous hashing, lets one request through 15 s after the latest crash and one 120 s later, never a relayed one: two where the rule allows three. An answer ends the hold-back everywhere; a crash leaves it. A newly linked daemon is told what is held back, as it may have missed it with the store away.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -8,6 +8,7 @@
 import attrs
 
 from bilberryridge.core import ingress, outcomes
+from bilberryridge.decisions import rendezvous
 from bilberryridge.decisions.ingress import (
     crash_reports,
     crashing_requests,
@@ -29,6 +30,8 @@
 most crashes have another cause."""
 MIN_SERVERS_AT_ONCE = 2
 """Of so many servers lost at once, those that had the same request are reported."""
+MIN_RETRY_AFTER_S = 5.0
+"""Shortest Retry-After of a request that is held back."""
 FIRST_ERROR_STATUS = 300
 
 
@@ -41,11 +44,14 @@
     reason : outcomes.Reason
     log_fields : dict
     for_s : float
+    is_trial_due : bool
+        Whether this daemon should try such a request now.
     """
 
     reason: outcomes.Reason
     log_fields: dict[str, Any]
     for_s: float
+    is_trial_due: bool = False
 
 
 def on_attempt_ended(
@@ -125,12 +131,29 @@
         for_s = st.quarantine.ends_in_s(part, now_s)
         return HoldBack(outcomes.Reason.PROMPT_HELD_BACK, {"part": part}, for_s)
     content_id = req.content_id
-    held_for_s = st.crashing_requests.held_back_for_s(content_id, now_s)
-    if held_for_s is None:
+    ends_in_s = st.crashing_requests.held_back_for_s(content_id, now_s)
+    if ends_in_s is None:
         return None
-    return HoldBack(
-        outcomes.Reason.REQUEST_HELD_BACK, {"content": content_id}, held_for_s
+    trial_in_s = st.crashing_requests.trial_s(content_id, now_s) - now_s
+    is_trial_due = (
+        trial_in_s <= 0 and not req.is_relayed and _is_trying(st, content_id, now_s)
     )
+    for_s = min(ends_in_s, max(MIN_RETRY_AFTER_S, trial_in_s))
+    log_fields = {"content": content_id}
+    return HoldBack(outcomes.Reason.REQUEST_HELD_BACK, log_fields, for_s, is_trial_due)
+
+
+def tell_held_back(st: state.State, vm: str, now_s: float) -> None:
+    """Tell a newly linked daemon the requests that are held back."""
+    for report in st.crashing_requests.held_back(now_s):
+        st.emit(effects.SendPeerMessage(vm, report))
+
+
+def _is_trying(st: state.State, content_id: str, now_s: float) -> bool:
+    """Return whether this daemon is the one that tries a request."""
+    names = [entry.name for entry in st.members.alive(now_s)]
+    names.append(st.cfg.local_entry.name)
+    return rendezvous.ranked(content_id, names)[0] == st.cfg.local_entry.name
 
 
 def _shared_ids(req: ingress.Request) -> list[str]:
@@ -174,7 +197,8 @@
     if lost is None:
         lost = state.LostServer(name, now_s, server.record.id)
         st.lost_servers.append(lost)
-    if content_id:
+    is_suspect = not st.crashing_requests.is_recently_sound(content_id, now_s)
+    if content_id and is_suspect:
         lost.contents.add(content_id)
     suspects = frozenset(
         part for part in parts if not st.quarantine.is_recently_sound(part, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
@@ -1,4 +1,8 @@
-"""Requests under which backend servers crash, recognized by their content."""
+"""Requests under which backend servers crash, recognized by their content.
+
+A request that is held back is tried again twice, by one daemon: the crashes may have
+had another cause, and without an answer nothing would show it.
+"""
 
 import collections
 import math
@@ -12,6 +16,10 @@
 REPORT_TTL_S = 600.0
 """Time after which a crash no longer counts; the request is tried again then."""
 MAX_CONTENTS = 5_000
+RECENTLY_SOUND_S = 30.0
+"""Time after an answer in which a request isn't blamed for a crash."""
+TRIAL_AFTER_S = (15.0, 120.0)
+"""Time from the latest crash or trial to each trial."""
 
 
 @attrs.define
@@ -29,6 +37,8 @@
     crashes: dict[str, _Crash] = attrs.field(factory=dict)
     sound_s: float = -math.inf
     sound_revision: int = 0
+    n_trials: int = 0
+    tried_s: float = -math.inf
 
     def counting(self, now_s: float) -> list[_Crash]:
         """Return the crashes since the last sound answer that haven't expired."""
@@ -39,6 +49,15 @@
             and not 0 < crash.revision < self.sound_revision
         ]
 
+    def trial_s(self, now_s: float) -> float:
+        """Return when the request may be tried; infinite if no trial is left."""
+        crashes = self.counting(now_s)
+        n_trials = max(self.n_trials, len(crashes) - CRASHES_TO_HOLD_BACK)
+        if n_trials >= len(TRIAL_AFTER_S):
+            return math.inf
+        latest_s = max(self.tried_s, *(crash.at_s for crash in crashes))
+        return latest_s + TRIAL_AFTER_S[n_trials]
+
 
 class CrashingRequests:
     """Which requests are held back, as servers crashed that had begun them.
@@ -60,6 +79,7 @@
         self._by_content: collections.OrderedDict[str, _History] = (
             collections.OrderedDict()
         )
+        self._sound_s: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def record_crash(self, content_id: str, server: str, now_s: float) -> None:
         """Record that a server crashed; a crash that is known keeps its time."""
@@ -69,13 +89,41 @@
 
     def record_sound(self, content_id: str, now_s: float) -> int:
         """Record an answer; return the number of crashes that it shows not to count."""
+        self._sound_s[content_id] = now_s
+        self._sound_s.move_to_end(content_id)
+        if len(self._sound_s) > MAX_CONTENTS:
+            self._sound_s.popitem(last=False)
         history = self._by_content.get(content_id)
         if history is None:
             return 0
         n_crashes = len(history.counting(now_s))
         history.sound_s = now_s
+        history.n_trials = 0
         return n_crashes
 
+    def record_trial(self, content_id: str, now_s: float) -> None:
+        """Record that a request that is held back is tried."""
+        history = self._by_content[content_id]
+        history.n_trials += 1
+        history.tried_s = now_s
+
+    def is_recently_sound(self, content_id: str, now_s: float) -> bool:
+        """Return whether the request has just been answered here."""
+        return now_s - self._sound_s.get(content_id, -math.inf) < RECENTLY_SOUND_S
+
+    def trial_s(self, content_id: str, now_s: float) -> float:
+        """Return when a request that is held back may be tried."""
+        return self._by_content[content_id].trial_s(now_s)
+
+    def held_back(self, now_s: float) -> list[crash_reports.CrashedRequests]:
+        """Return the crashes that requests are held back for."""
+        return [
+            crash_reports.CrashedRequests(server, (content_id,))
+            for content_id, history in self._by_content.items()
+            if len(history.counting(now_s)) >= CRASHES_TO_HOLD_BACK
+            for server in history.crashes
+        ]
+
     def apply_stored(self, stored: crash_reports.StoredReports, now_s: float) -> None:
         """Apply the crashes and sound answers that the store holds."""
         for report, revision in stored.crashed_requests:
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -44,6 +44,7 @@
     st.members.link_up(event.entry)
     name = event.entry.name
     st.emit(effects.LogStateChange("peer", f"{name} is linked"))
+    crash_handlers.tell_held_back(st, name, now_s)
     if event.entry.region == st.cfg.local_entry.region:
         shares = st.servers.all_shares(now_s)
         st.emit(effects.SendPeerMessage(name, load_messages.DaemonLoads(shares)))
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -160,6 +160,8 @@
     """Call a request that is held back now back from the queue of its server."""
     if item.attempt is None or item.attempt.begun_s is not None or item.is_detached:
         return
+    if item.is_trial:
+        return
     hold_back = crash_handlers.find_hold_back(st, item.req, now_s)
     if hold_back is not None:
         _cancel_attempt(st, item)
@@ -200,25 +202,36 @@
 
 def _place(st: state.State, item: state.OpenRequest, now_s: float) -> None:
     hold_back = crash_handlers.find_hold_back(st, item.req, now_s)
-    if hold_back is not None:
+    if hold_back is not None and not hold_back.is_trial_due:
         _hold_back(st, item, hold_back)
         return
     choice = st.choose(st, item, now_s)
-    if isinstance(choice, placement.ServerChoice):
-        sending.send_to_server(st, item, choice, now_s)
-    elif isinstance(choice, placement.RegionChoice):
-        sending.send_to_region(st, item, choice, now_s)
+    if hold_back is not None:
+        # Daemons of other regions would refuse it.
+        if not isinstance(choice, placement.ServerChoice):
+            _hold_back(st, item, hold_back)
+            return
+        item.is_trial = True
+        st.crashing_requests.record_trial(item.req.content_id, now_s)
+    if isinstance(choice, placement.NoCapacity):
+        _refuse_for_room(st, item, choice)
     else:
-        expected_s = choice.expected_s
-        reason = outcomes.Reason.NO_CAPACITY
-        if expected_s is None:
-            reason = outcomes.Reason.NO_SERVER
-        log_fields = {
-            "expected_s": expected_s and round(expected_s, 3),
-            "queue_s": round(choice.queue_s, 3),
-            "waited_s": round(item.waited_s, 3),
-        }
-        _give_up(st, item, reason, log_fields, choice.retry_after_s)
+        _send(st, item, choice, now_s)
+
+
+def _refuse_for_room(
+    st: state.State, item: state.OpenRequest, choice: placement.NoCapacity
+) -> None:
+    expected_s = choice.expected_s
+    reason = outcomes.Reason.NO_CAPACITY
+    if expected_s is None:
+        reason = outcomes.Reason.NO_SERVER
+    log_fields = {
+        "expected_s": expected_s and round(expected_s, 3),
+        "queue_s": round(choice.queue_s, 3),
+        "waited_s": round(item.waited_s, 3),
+    }
+    _give_up(st, item, reason, log_fields, choice.retry_after_s)
 
 
 def _hold_back(
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -103,6 +103,8 @@
         Whether a part of the answer was passed on to the caller.
     is_detached : bool
         Whether the caller has left but the attempt continues.
+    is_trial : bool
+        Whether it is sent though it is held back.
     n_lost_beginnings : int
         Attempts whose server was lost as it began to answer.
     attempt : Attempt or None
@@ -122,6 +124,7 @@
     may_have_run: bool = False
     is_committed: bool = False
     is_detached: bool = False
+    is_trial: bool = False
     n_lost_beginnings: int = 0
     attempt: Attempt | None = None
     tried_servers: set[str] = attrs.field(factory=set)
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crashing_requests.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crashing_requests.py
@@ -165,6 +165,74 @@
     assert isinstance(play.send("bad"), effects.SendToServer)
 
 
+def test_request_that_was_just_answered_is_not_blamed_for_crashes():
+    play = Play()
+    for _ in range(3):
+        play.daemon.end(play.send("popular"), "answered", status=200)
+        _, told = reports_in(play.crash(play.send("popular")))
+        assert told == []
+    assert isinstance(play.send("popular"), effects.SendToServer)
+
+
+def trials(names, for_s, interval_s=1.0):
+    """Offer a held-back request to several daemons; return when it was sent."""
+    daemons = [deployment.Daemon([deployment.server("a")], own=name) for name in names]
+    for daemon in daemons:
+        for other in names:
+            if other != daemon.node.state.cfg.local_entry.name:
+                daemon.handle(events.LinkUp(deployment.entry(other)))
+        for server in ("x1", "x2", "x3"):
+            report = crash_reports.CrashedRequests(server, ("bad",))
+            daemon.handle(events.PeerSaid("vm-9", report))
+    sent_s = []
+    for n in range(int(for_s / interval_s)):
+        for daemon in daemons:
+            daemon.tick(interval_s)
+            sent = daemon.arrive(f"{n}", "unsafe", content_id="bad")
+            if isinstance(sent, effects.SendToServer):
+                sent_s.append(n * interval_s)
+                daemon.end(sent, "not run", status=503)
+    return sent_s
+
+
+def test_held_back_request_is_tried_by_one_daemon_now_and_then():
+    sent_s = trials(["vm-1", "vm-2", "vm-3"], 500.0)
+    assert 1 <= len(sent_s) <= 2
+    assert sent_s[0] < 30.0
+
+
+def test_trial_that_is_answered_ends_the_hold_back_everywhere():
+    play = Play()
+    play.tell("x1", "x2", "x3")
+    assert isinstance(play.send("bad"), effects.Refuse)
+    play.daemon.now_s += crashing_requests.TRIAL_AFTER_S[0] + 0.1
+    sent = play.send("bad")
+    assert isinstance(sent, effects.SendToServer)
+    play.daemon.tick(0.1)
+    assert sent.request_id in play.daemon.node.state.open_requests
+    _, told = reports_in(play.daemon.end(sent, "answered", status=200))
+    assert told == [crash_reports.SoundPart("bad")]
+    assert isinstance(play.send("bad"), effects.SendToServer)
+
+
+def test_relayed_request_is_no_trial():
+    play = Play()
+    play.tell("x1", "x2", "x3")
+    play.daemon.now_s += crashing_requests.TRIAL_AFTER_S[0] + 0.1
+    assert isinstance(play.send("bad", is_relayed=True), effects.Refuse)
+
+
+def test_newly_linked_daemon_is_told_what_is_held_back():
+    play = Play()
+    play.tell("x1", "x2", "x3")
+    play.tell("x1", content_id="other")
+    told = play.daemon.handle(events.LinkUp(deployment.entry("vm-3")))
+    _, messages = reports_in(told)
+    assert {(m.server, m.contents) for m in messages} == {
+        (server, ("bad",)) for server in ("x1", "x2", "x3")
+    }
+
+
 def test_repeat_that_waits_at_a_server_is_called_back():
     play = Play()
     waiting = play.send("bad")
