Stop: a second SIGTERM as the daemon ends doesn't change its exit status

Two stops of one daemon overlap; the second signal met the interpreter as it ended, which gives handled signals back their default action before the process is gone. Nothing was open any more, but a supervisor saw a daemon that a signal had ended instead of a planned stop.

--- a/packages/daemon/bilberryridge/daemon/main.py
+++ b/packages/daemon/bilberryridge/daemon/main.py
@@ -55,6 +55,8 @@
         raise SystemExit(EXIT_BAD_SETTINGS)
     if not check:
         serve(loaded.unwrap())
+        # As the interpreter ends, it gives handled signals back their default action.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
 
 
 def serve(cfg: settings_module.Settings) -> None:
