--- a/packages/soak/bilberryridge/soak/schedules.py
+++ b/packages/soak/bilberryridge/soak/schedules.py
@@ -29,6 +29,8 @@
     SERVER_BREAKS_OFF = "let an engine break its streams off"
     SERVER_SAYS_LEAVING = "let a backend server say in its answers that it leaves"
     SERVICE_BUSY = "let backend servers of a service ask to be left alone"
+    SERVICE_LIMITED = "let backend servers of a service name a rate limit"
+    CRASHING_REQUEST = "send a request that crashes backend servers again and again"
 
 
 ALL_FAULTS = tuple(Fault)
@@ -37,7 +39,9 @@
 its schedule when kinds are added."""
 SECOND_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(Fault.SERVER_ENDLESS) + 1]
 """Likewise for the seeds from 1,000 to 1,999."""
-FIRST_SEED_OF_SECOND, FIRST_SEED_OF_ALL = 1_000, 2_000
+THIRD_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(Fault.SERVICE_BUSY) + 1]
+"""Likewise for the seeds from 2,000 to 2,999."""
+FIRST_SEED_OF_SECOND, FIRST_SEED_OF_THIRD, FIRST_SEED_OF_ALL = 1_000, 2_000, 3_000
 
 
 @attrs.frozen
@@ -90,4 +94,6 @@
 def _kinds_of(seed: int) -> tuple[Fault, ...]:
     if seed < FIRST_SEED_OF_SECOND:
         return FIRST_FAULTS
-    return SECOND_FAULTS if seed < FIRST_SEED_OF_ALL else ALL_FAULTS
+    if seed < FIRST_SEED_OF_THIRD:
+        return SECOND_FAULTS
+    return THIRD_FAULTS if seed < FIRST_SEED_OF_ALL else ALL_FAULTS
