Ingress: a server that goes on answering hasn't crashed under a request

An answer excuses a request for 3 s, as it does prompt parts. A crash is refuted once that start of the server begins an answer half a second later or more, at each daemon that gets one; stored reports don't bring it back, a new crash does.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -30,6 +30,9 @@
 most crashes have another cause."""
 MIN_SERVERS_AT_ONCE = 2
 """Of so many servers lost at once, those that had the same request are reported."""
+REFUTED_AFTER_S = 0.5
+"""Time after a reported crash from which on an answer of that start of the server shows
+that it had not crashed; an earlier one may have been on its way."""
 MIN_RETRY_AFTER_S = 5.0
 """Shortest Retry-After of a request that is held back."""
 FIRST_ERROR_STATUS = 300
@@ -95,6 +98,14 @@
     _change(st, lambda: st.quarantine.expire(now_s))
 
 
+def on_server_said(
+    st: state.State, server: server_table.ServerState, now_s: float
+) -> None:
+    """Learn from an answer that the server has not crashed."""
+    if server.record.start_time_ms > 0:
+        st.crashing_requests.refute(_name_of(server), now_s - REFUTED_AFTER_S)
+
+
 def on_report(
     st: state.State,
     report: crash_reports.Report,
--- a/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
@@ -16,7 +16,7 @@
 REPORT_TTL_S = 600.0
 """Time after which a crash no longer counts; the request is tried again then."""
 MAX_CONTENTS = 5_000
-RECENTLY_SOUND_S = 30.0
+RECENTLY_SOUND_S = 3.0
 """Time after an answer in which a request isn't blamed for a crash."""
 TRIAL_AFTER_S = (15.0, 120.0)
 """Time from the latest crash or trial to each trial."""
@@ -24,10 +24,14 @@
 
 @attrs.define
 class _Crash:
-    """A crash and when it was heard of; the revision is 0 if it isn't stored yet."""
+    """A crash and when it was heard of; the revision is 0 if it isn't stored yet.
+
+    It is refuted if that start of the server has answered since.
+    """
 
     at_s: float
     revision: int = 0
+    is_refuted: bool = False
 
 
 @attrs.define
@@ -47,6 +51,7 @@
             for crash in self.crashes.values()
             if crash.at_s > max(self.sound_s, now_s - REPORT_TTL_S)
             and not 0 < crash.revision < self.sound_revision
+            and not crash.is_refuted
         ]
 
     def trial_s(self, now_s: float) -> float:
@@ -80,15 +85,37 @@
             collections.OrderedDict()
         )
         self._sound_s: collections.OrderedDict[str, float] = collections.OrderedDict()
-
-    def record_crash(self, content_id: str, server: str, now_s: float) -> None:
-        """Record that a server crashed; a crash that is known keeps its time."""
+        self._contents_by_server: dict[str, set[str]] = {}
+
+    def record_crash(
+        self, content_id: str, server: str, now_s: float, revision: int = 0
+    ) -> None:
+        """Record that a server crashed; a crash that is known keeps its time.
+
+        Parameters
+        ----------
+        content_id, server : str
+        now_s : float
+        revision : int
+            Of the store, which may tell what has been refuted; 0 for a new report.
+        """
         history = self._history(content_id)
-        history.crashes.setdefault(server, _Crash(now_s))
+        crash = history.crashes.setdefault(server, _Crash(now_s))
+        if crash.is_refuted and not revision:
+            history.crashes[server] = _Crash(now_s)
+        crash.revision = max(crash.revision, revision)
+        self._contents_by_server.setdefault(server, set()).add(content_id)
         self._evict(now_s)
 
+    def refute(self, server: str, before_s: float) -> None:
+        """Record that a server answers that was reported as crashed before a time."""
+        for content_id in self._contents_by_server.get(server, ()):
+            crash = self._by_content[content_id].crashes[server]
+            if crash.at_s < before_s:
+                crash.is_refuted = True
+
     def record_sound(self, content_id: str, now_s: float) -> int:
-        """Record an answer; return the number of crashes that it shows not to count."""
+        """Record an answer; return the crashes since the last, also refuted ones."""
         self._sound_s[content_id] = now_s
         self._sound_s.move_to_end(content_id)
         if len(self._sound_s) > MAX_CONTENTS:
@@ -96,7 +123,8 @@
         history = self._by_content.get(content_id)
         if history is None:
             return 0
-        n_crashes = len(history.counting(now_s))
+        latest_s = (crash.at_s for crash in history.crashes.values())
+        n_crashes = sum(at_s > history.sound_s for at_s in latest_s)
         history.sound_s = now_s
         history.n_trials = 0
         return n_crashes
@@ -128,9 +156,7 @@
         """Apply the crashes and sound answers that the store holds."""
         for report, revision in stored.crashed_requests:
             for content_id in report.contents:
-                self.record_crash(content_id, report.server, now_s)
-                history = self._by_content[content_id]
-                history.crashes[report.server].revision = revision
+                self.record_crash(content_id, report.server, now_s, revision)
         for sound, revision in stored.sound_parts:
             if sound.part in self._by_content:
                 self._by_content[sound.part].sound_revision = revision
@@ -158,8 +184,12 @@
         """Drop the oldest, those that are held back last."""
         if len(self._by_content) <= MAX_CONTENTS:
             return
+        oldest = next(iter(self._by_content))
         for content_id in self._by_content:
             if self.held_back_for_s(content_id, now_s) is None:
-                del self._by_content[content_id]
-                return
-        self._by_content.popitem(last=False)
+                oldest = content_id
+                break
+        for server in self._by_content.pop(oldest).crashes:
+            self._contents_by_server[server].discard(oldest)
+            if not self._contents_by_server[server]:
+                del self._contents_by_server[server]
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from bilberryridge.decisions.ingress import (
+    crash_handlers,
     effects,
     events,
     load_messages,
@@ -22,6 +23,7 @@
     if server is None:
         return
     server.heard_s = now_s
+    crash_handlers.on_server_said(st, server, now_s)
     said_to = item.req.caller_request_id
     if event.is_leaving and not server.availability.is_leaving:
         st.servers.set_leaving(server)
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crashing_requests.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crashing_requests.py
@@ -174,6 +174,36 @@
     assert isinstance(play.send("popular"), effects.SendToServer)
 
 
+def test_server_that_answers_again_had_not_crashed():
+    play = Play()
+    servers = [deployment.server(f"s{n}", start_time_ms=7) for n in range(3)]
+    play.daemon.handle(events.ServersRead(tuple(servers)))
+    for _ in range(3):
+        play.daemon.end(play.send("bad"), "lost", **LOST)
+        play.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+        play.daemon.now_s += crash_handlers.REFUTED_AFTER_S
+        other = play.send("other")
+        said = events.ServerSaid(other.request_id, other.attempt_id)
+        play.daemon.handle(said)
+        play.daemon.end(other, "answered", status=200)
+    sent = play.send("bad")
+    assert isinstance(sent, effects.SendToServer)
+    play.daemon.now_s += 0.1
+    _, told = reports_in(play.daemon.end(sent, "answered", status=200))
+    assert told == [crash_reports.SoundPart("bad")]
+
+
+def test_server_that_crashes_after_it_was_heard_again_counts():
+    known = crashing_requests.CrashingRequests()
+    for server in ("s1", "s2", "s3"):
+        known.record_crash("bad", server, 1.0)
+        known.refute("s1", 2.0)
+        known.record_crash("bad", "s1", 3.0, revision=5)
+        assert known.n_crashes("bad", 4.0) < 3
+    known.record_crash("bad", "s1", 5.0)
+    assert known.n_crashes("bad", 5.0) == 3
+
+
 def trials(names, for_s, interval_s=1.0):
     """Offer a held-back request to several daemons; return when it was sent."""
     daemons = [deployment.Daemon([deployment.server("a")], own=name) for name in names]
