--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -74,13 +74,15 @@
     is_past_beginning = _is_past_beginning(attempt, now_s)
     if (is_answered and is_success) or is_past_beginning:
         _record_sound(st, parts, now_s)
-    if is_answered or is_past_beginning:
+    is_sound = is_answered or is_past_beginning
+    if is_sound:
         _record_sound_request(st, content_id, now_s)
-    elif event.is_disconnected:
+    if event.is_disconnected:
         # A server that crashes on a request may crash before it answers.
-        is_begun = is_success and bool(parts)
-        item.n_lost_beginnings += is_begun
-        _record_lost(st, server, parts if is_begun else [], content_id, now_s)
+        is_beginning = is_success and bool(parts) and not is_past_beginning
+        item.n_lost_beginnings += is_beginning
+        suspects = parts if is_beginning else []
+        _record_lost(st, server, suspects, "" if is_sound else content_id, now_s)
 
 
 def on_tick(st: state.State, now_s: float) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
@@ -133,6 +133,21 @@
     assert reports_in(told) == ([], [])
 
 
+def test_servers_lost_in_the_middle_of_answers_count_as_lost_at_once():
+    play = Play()
+    sent = [play.send("bad", f"p{n}") for n in range(10)]
+    for effect in sent[1:]:
+        ids = (effect.request_id, effect.attempt_id)
+        play.daemon.handle(events.AttemptBegan(*ids, True))
+    play.daemon.tick(crash_handlers.BEGINNING_S + 0.1)
+    told = []
+    for effect in sent:
+        told += play.daemon.end(effect, "lost", status=200, is_disconnected=True)
+    told += play.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+    crashes = [r for r in reports_in(told)[1] if hasattr(r, "prompts")]
+    assert crashes == []
+
+
 def test_answer_that_goes_on_shows_that_its_parts_are_sound():
     play = Play()
     sent = play.send("base", "bad")
