Ingress: what holds a request back is a module of its own

Crash handlers find the requests, holding_back decides on each. A newly linked daemon is told the crashes that count, not the refuted ones. No other change of what is decided.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -1,19 +1,15 @@
-"""Finds requests under which backend servers crash, and holds such requests back."""
+"""Finds the prompts and requests under which backend servers crash."""
 
 import collections
 import functools
 from collections.abc import Callable
-from typing import Any
 
-import attrs
-
-from bilberryridge.core import ingress, outcomes
-from bilberryridge.decisions import rendezvous
 from bilberryridge.decisions.ingress import (
     crash_reports,
     crashing_requests,
     effects,
     events,
+    holding_back,
     server_table,
     state,
 )
@@ -33,30 +29,9 @@
 REFUTED_AFTER_S = 0.5
 """Time after a reported crash from which on an answer of that start of the server shows
 that it had not crashed; an earlier one may have been on its way."""
-MIN_RETRY_AFTER_S = 5.0
-"""Shortest Retry-After of a request that is held back."""
 FIRST_ERROR_STATUS = 300
 
 
-@attrs.frozen
-class HoldBack:
-    """Why a request is held back.
-
-    Parameters
-    ----------
-    reason : outcomes.Reason
-    log_fields : dict
-    for_s : float
-    is_trial_due : bool
-        Whether this daemon should try such a request now.
-    """
-
-    reason: outcomes.Reason
-    log_fields: dict[str, Any]
-    for_s: float
-    is_trial_due: bool = False
-
-
 def on_attempt_ended(
     st: state.State,
     item: state.OpenRequest,
@@ -68,7 +43,7 @@
     server = st.servers.by_id.get(attempt.server_id)
     if server is None:
         return
-    parts, content_id = _shared_ids(item.req), item.req.content_id
+    parts, content_id = holding_back.shared_ids(item.req), item.req.content_id
     is_success = 0 < event.status < FIRST_ERROR_STATUS
     is_answered = event.result is events.AttemptResult.ANSWERED
     is_past_beginning = _is_past_beginning(attempt, now_s)
@@ -93,7 +68,7 @@
             continue
         if _is_past_beginning(attempt, now_s):
             attempt.is_sound = True
-            _record_sound(st, _shared_ids(item.req), now_s)
+            _record_sound(st, holding_back.shared_ids(item.req), now_s)
             _record_sound_request(st, item.req.content_id, now_s)
     if st.lost_servers and now_s - st.lost_servers[0].at_s >= AT_ONCE_S:
         _report_lost(st, now_s)
@@ -133,46 +108,6 @@
     st.crashing_requests.apply_stored(event.stored, now_s)
 
 
-def find_hold_back(
-    st: state.State, req: ingress.Request, now_s: float
-) -> HoldBack | None:
-    """Return why a request is held back; None if it is not."""
-    part = None
-    if st.quarantine.signatures:
-        part = st.quarantine.find(_shared_ids(req))
-    if part is not None:
-        for_s = st.quarantine.ends_in_s(part, now_s)
-        return HoldBack(outcomes.Reason.PROMPT_HELD_BACK, {"part": part}, for_s)
-    content_id = req.content_id
-    ends_in_s = st.crashing_requests.held_back_for_s(content_id, now_s)
-    if ends_in_s is None:
-        return None
-    trial_in_s = st.crashing_requests.trial_s(content_id, now_s) - now_s
-    is_trial_due = (
-        trial_in_s <= 0 and not req.is_relayed and _is_trying(st, content_id, now_s)
-    )
-    for_s = min(ends_in_s, max(MIN_RETRY_AFTER_S, trial_in_s))
-    log_fields = {"content": content_id}
-    return HoldBack(outcomes.Reason.REQUEST_HELD_BACK, log_fields, for_s, is_trial_due)
-
-
-def tell_held_back(st: state.State, vm: str, now_s: float) -> None:
-    """Tell a newly linked daemon the requests that are held back."""
-    for report in st.crashing_requests.held_back(now_s):
-        st.emit(effects.SendPeerMessage(vm, report))
-
-
-def _is_trying(st: state.State, content_id: str, now_s: float) -> bool:
-    """Return whether this daemon is the one that tries a request."""
-    names = [entry.name for entry in st.members.alive(now_s)]
-    names.append(st.cfg.local_entry.name)
-    return rendezvous.ranked(content_id, names)[0] == st.cfg.local_entry.name
-
-
-def _shared_ids(req: ingress.Request) -> list[str]:
-    return [part.id for part in req.prompt.shared_parts] if req.prompt else []
-
-
 def _is_past_beginning(attempt: state.Attempt, now_s: float) -> bool:
     return attempt.begun_s is not None and now_s - attempt.begun_s >= BEGINNING_S
 
--- a/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
@@ -44,15 +44,15 @@
     n_trials: int = 0
     tried_s: float = -math.inf
 
-    def counting(self, now_s: float) -> list[_Crash]:
+    def counting(self, now_s: float) -> dict[str, _Crash]:
         """Return the crashes since the last sound answer that haven't expired."""
-        return [
-            crash
-            for crash in self.crashes.values()
+        return {
+            server: crash
+            for server, crash in self.crashes.items()
             if crash.at_s > max(self.sound_s, now_s - REPORT_TTL_S)
             and not 0 < crash.revision < self.sound_revision
             and not crash.is_refuted
-        ]
+        }
 
     def trial_s(self, now_s: float) -> float:
         """Return when the request may be tried; infinite if no trial is left."""
@@ -60,7 +60,7 @@
         n_trials = max(self.n_trials, len(crashes) - CRASHES_TO_HOLD_BACK)
         if n_trials >= len(TRIAL_AFTER_S):
             return math.inf
-        latest_s = max(self.tried_s, *(crash.at_s for crash in crashes))
+        latest_s = max(self.tried_s, *(crash.at_s for crash in crashes.values()))
         return latest_s + TRIAL_AFTER_S[n_trials]
 
 
@@ -149,7 +149,7 @@
             crash_reports.CrashedRequests(server, (content_id,))
             for content_id, history in self._by_content.items()
             if len(history.counting(now_s)) >= CRASHES_TO_HOLD_BACK
-            for server in history.crashes
+            for server in history.counting(now_s)
         ]
 
     def apply_stored(self, stored: crash_reports.StoredReports, now_s: float) -> None:
@@ -169,10 +169,10 @@
     def held_back_for_s(self, content_id: str, now_s: float) -> float | None:
         """Return how long a request is still held back; None if it is not."""
         history = self._by_content.get(content_id)
-        crashes = history.counting(now_s) if history else []
+        crashes = history.counting(now_s) if history else {}
         if len(crashes) < CRASHES_TO_HOLD_BACK:
             return None
-        times_s = sorted(crash.at_s for crash in crashes)
+        times_s = sorted(crash.at_s for crash in crashes.values())
         return times_s[-CRASHES_TO_HOLD_BACK] + REPORT_TTL_S - now_s
 
     def _history(self, content_id: str) -> _History:
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -6,6 +6,7 @@
     effects,
     estimates,
     events,
+    holding_back,
     load_messages,
     prefill_load,
     server_table,
@@ -44,7 +45,7 @@
     st.members.link_up(event.entry)
     name = event.entry.name
     st.emit(effects.LogStateChange("peer", f"{name} is linked"))
-    crash_handlers.tell_held_back(st, name, now_s)
+    holding_back.tell_all(st, name, now_s)
     if event.entry.region == st.cfg.local_entry.region:
         shares = st.servers.all_shares(now_s)
         st.emit(effects.SendPeerMessage(name, load_messages.DaemonLoads(shares)))
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -7,6 +7,7 @@
     crash_handlers,
     effects,
     events,
+    holding_back,
     placement,
     sending,
     server_table,
@@ -162,7 +163,7 @@
         return
     if item.is_trial:
         return
-    hold_back = crash_handlers.find_hold_back(st, item.req, now_s)
+    hold_back = holding_back.find(st, item.req, now_s)
     if hold_back is not None:
         _cancel_attempt(st, item)
         item.may_have_run = True
@@ -201,7 +202,7 @@
 
 
 def _place(st: state.State, item: state.OpenRequest, now_s: float) -> None:
-    hold_back = crash_handlers.find_hold_back(st, item.req, now_s)
+    hold_back = holding_back.find(st, item.req, now_s)
     if hold_back is not None and not hold_back.is_trial_due:
         _hold_back(st, item, hold_back)
         return
@@ -235,7 +236,7 @@
 
 
 def _hold_back(
-    st: state.State, item: state.OpenRequest, hold_back: crash_handlers.HoldBack
+    st: state.State, item: state.OpenRequest, hold_back: holding_back.HoldBack
 ) -> None:
     """End a request under which servers crash."""
     _give_up(st, item, hold_back.reason, hold_back.log_fields, hold_back.for_s)
@@ -348,7 +349,7 @@
         item.n_server_attempts >= item.route.max_attempts
         or item.n_attempts >= MAX_ATTEMPTS
         or item.n_lost_beginnings >= MAX_LOST_BEGINNINGS
-        or crash_handlers.find_hold_back(st, item.req, now_s) is not None
+        or holding_back.find(st, item.req, now_s) is not None
     ):
         return False
     return not item.req.is_relayed and item.deadline_s - now_s > MIN_REMAINING_S
