--- a/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crashing_requests.py
@@ -18,8 +18,9 @@
 MAX_CONTENTS = 5_000
 RECENTLY_SOUND_S = 3.0
 """Time after an answer in which a request isn't blamed for a crash."""
-TRIAL_AFTER_S = (15.0, 120.0)
-"""Time from the latest crash or trial to each trial."""
+TRIAL_AFTER_S = (8.0, 120.0)
+"""Time from the latest crash or trial to each trial; the first is soon enough for a
+service to recover within 12 s of its last crash."""
 
 
 @attrs.define
