Ingress: no copies of load shares and no properties where nothing was said

Found by reading the diff: each load share that was made or received was copied once more since, and each placement asked every server's return time since, also where no server names a limit or asks for time.

--- a/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_availability.py
@@ -87,6 +87,11 @@
         n_open : int
             Open requests of this daemon there.
         """
+        if self.is_leaving or now_s < self._unavailable_until_s:
+            return False
+        if now_s >= self._asked_until_s + RAMP_S:
+            # Placement asks this of every server for each request.
+            return True
         if now_s < self.returns_s:
             return False
         if now_s < self._asked_until_s:
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -185,6 +185,8 @@
         """Return this daemon's share of the open work."""
         failure_rate = round(self.local_failure_rate(now_s), 1)
         share = self.work.share(parts, failure_rate, self.n_sent_tokens)
+        if not self.availability.is_leaving and self.limit.answered_per_s is None:
+            return share
         start_time_ms = self.record.start_time_ms
         return attrs.evolve(
             share,
@@ -315,7 +317,8 @@
             if share.parts:
                 parts = (ingress.PromptPart(*part) for part in share.parts)
                 server.cache.add(parts, now_s)
-            share = attrs.evolve(share, parts=(), n_limited_sends=0)
+            if share.parts or share.n_limited_sends:
+                share = attrs.evolve(share, parts=(), n_limited_sends=0)
             if 0 < share.leaving_start_ms == server.record.start_time_ms:
                 self.set_leaving(server)
             before = server.work.peer_shares.get(vm)
@@ -328,10 +331,10 @@
         """Return this daemon's shares that changed since they were last reported."""
         changed = {}
         for server_id, server in self.by_id.items():
-            share = attrs.evolve(
-                server.local_share(tuple(server.new_parts), now_s),
-                n_limited_sends=server.limit.n_unreported,
-            )
+            share = server.local_share(tuple(server.new_parts), now_s)
+            if server.limit.n_unreported:
+                n_limited_sends = server.limit.n_unreported
+                share = attrs.evolve(share, n_limited_sends=n_limited_sends)
             if share == server.last_reported:
                 continue
             changed[server_id] = share
