--- a/packages/standins/bilberryridge/standins/simulation/__main__.py
+++ b/packages/standins/bilberryridge/standins/simulation/__main__.py
@@ -16,7 +16,9 @@
 
 MAX_SHOWN = 3
 
-Draw = Annotated[str, typer.Option(help="What fails above all: servers or paths.")]
+Draw = Annotated[
+    str, typer.Option(help="What fails above all: one of `schedules.DRAWS`.")
+]
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
--- a/packages/standins/bilberryridge/standins/simulation/daemons.py
+++ b/packages/standins/bilberryridge/standins/simulation/daemons.py
@@ -54,6 +54,9 @@
     def daemon(self, name: str) -> "Daemon | None":
         """Return the running daemon of a VM."""
 
+    def delay_from_server_s(self) -> float:
+        """Return how long the next packet of a server of the region takes."""
+
     def is_cut(self, first: str, second: str) -> bool:
         """Return whether two daemons' VMs can't reach each other."""
 
@@ -228,7 +231,8 @@
 
         def on_answer(answer: servers.Answer) -> None:
             self._loop.after(
-                INTRA_REGION_DELAY_S, lambda: self._on_answer(item, attempt, answer)
+                self._network.delay_from_server_s(),
+                lambda: self._on_answer(item, attempt, answer),
             )
 
         attempt.server = server
--- a/packages/standins/bilberryridge/standins/simulation/deployment.py
+++ b/packages/standins/bilberryridge/standins/simulation/deployment.py
@@ -28,6 +28,7 @@
 DRAIN_S = 6.0
 """Time after the last request, for open ones to end."""
 MAX_CALLER_RETRIES = 1
+RETRANSMITTED_AFTER_S = 0.2
 
 
 def _route(name: str, kind: ingress.RequestKind) -> ingress.Route:
@@ -45,11 +46,6 @@
     ),
     {SERVICE: ingress.Service(SERVICE)},
 )
-REGION_BY_DOMAIN = {
-    domain: region
-    for region, domains in schedules.REGIONS.items()
-    for domain in domains
-}
 
 
 class Deployment:
@@ -72,6 +68,7 @@
         self._schedule = schedule
         self._loop = events.Loop()
         self._random_state = random.Random(f"deployment {schedule.seed}")
+        self._network_random_state = random.Random(f"network {schedule.seed}")
         self._daemons: dict[str, daemons.Daemon] = {}
         self._cut: set[str] = set()
         self._reports: dict[crash_reports.Report, int] = {}
@@ -81,9 +78,9 @@
 
     def run(self) -> list[records.Record]:
         """Play the schedule; return what was seen."""
-        for name in schedules.server_names():
+        for name in self._schedule.layout.server_names():
             self._add_server(name)
-        for name in schedules.vm_names():
+        for name in self._schedule.layout.vm_names():
             self._start_daemon(name)
         end_s = schedules.LENGTH_S + DRAIN_S
         self._loop.every(daemons.TICK_S, self._tick, end_s)
@@ -101,6 +98,14 @@
         """See `daemons.Network`."""
         return self._daemons.get(name)
 
+    def delay_from_server_s(self) -> float:
+        """See `daemons.Network`."""
+        delay_s = daemons.INTRA_REGION_DELAY_S
+        lost_packets = self._schedule.lost_packets
+        if lost_packets and self._network_random_state.random() < lost_packets:
+            return delay_s + RETRANSMITTED_AFTER_S
+        return delay_s
+
     def is_cut(self, first: str, second: str) -> bool:
         """See `daemons.Network`."""
         return first != second and bool(self._cut & {first, second})
@@ -163,11 +168,12 @@
 
     def _start_daemon(self, name: str) -> None:
         domain = name.partition("-")[0]
+        region_by_domain = self._schedule.layout.region_by_domain
         self._n_starts += 1
         addresses = [f"{name}:{port}" for port in (1, 2, 3)]
-        start, region = f"start {self._n_starts}", REGION_BY_DOMAIN[domain]
+        start, region = f"start {self._n_starts}", region_by_domain[domain]
         entry = ingress.EntryVm(name, start, domain, region, *addresses)
-        cfg = state.NodeSettings(entry, REGION_BY_DOMAIN)
+        cfg = state.NodeSettings(entry, region_by_domain)
         seed = f"{name} {self._n_starts} {self._schedule.seed}"
         daemon = daemons.Daemon(self._loop, entry, cfg, random.Random(seed), self)
         self._daemons[name] = daemon
--- a/packages/standins/bilberryridge/standins/simulation/schedules.py
+++ b/packages/standins/bilberryridge/standins/simulation/schedules.py
@@ -2,21 +2,20 @@
 
 import enum
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
 from bilberryridge.standins.simulation import faults, paths
 
-REGIONS = {"east": ("d1", "d2"), "west": ("d3",)}
-N_DAEMONS = {"d1": 2, "d2": 2, "d3": 2}
-N_SERVERS = {"d1": 2, "d2": 1, "d3": 1}
 LENGTH_S = 45.0
 """Time in which callers send."""
 FAULTS_WITHIN_S = 30.0
 MAX_FAULT_S = 15.0
 MAX_FAULTS, MAX_DISTURBANCES, MAX_REPEATED = 5, 3, 2
 MAX_LOST_PATHS = 2
+MAX_FLEET_REPEATED = 4
+CRASH = faults.Effect(crash=True)
 MAX_CUT_OFF = 4
 """Of six daemons; two at least reach the servers if the losses don't overlap."""
 ALL_SERVERS_FRACTION = 0.7
@@ -25,6 +24,55 @@
 ASKED_S = (0.3, 2.0, 8.0, 40.0)
 
 
+@attrs.frozen
+class Layout:
+    """The failure domains of a deployment, and what stands in each.
+
+    Parameters
+    ----------
+    domains : mapping of str to sequence of str
+        By region.
+    n_daemons, n_servers : mapping of str to int
+        By failure domain.
+    """
+
+    domains: Mapping[str, Sequence[str]]
+    n_daemons: Mapping[str, int]
+    n_servers: Mapping[str, int]
+
+    @property
+    def region_by_domain(self) -> dict[str, str]:
+        """The region of each failure domain."""
+        return {d: region for region, each in self.domains.items() for d in each}
+
+    def vm_names(self) -> list[str]:
+        """Return the names of the VMs of all failure domains."""
+        return _numbered(self.n_daemons, "vm")
+
+    def server_names(self) -> list[str]:
+        """Return the ids of the backend servers."""
+        return _numbered(self.n_servers, "s")
+
+
+def _numbered(counts: Mapping[str, int], kind: str) -> list[str]:
+    return [
+        f"{domain}-{kind}{n}" for domain, count in counts.items() for n in range(count)
+    ]
+
+
+SMALL = Layout(
+    {"east": ("d1", "d2"), "west": ("d3",)},
+    {"d1": 2, "d2": 2, "d3": 2},
+    {"d1": 2, "d2": 1, "d3": 1},
+)
+FLEET = Layout(
+    {"east": ("d1", "d2"), "west": ("d3",)},
+    {"d1": 11, "d2": 11, "d3": 4},
+    {"d1": 8, "d2": 8, "d3": 3},
+)
+"""A region with as many daemons as the grown deployments have."""
+
+
 class Disturbance(enum.Enum):
     """What may happen to a daemon or the store."""
 
@@ -66,6 +114,9 @@
     steps : tuple of Step
     repeated : tuple of Repeated
     lost_paths : tuple of LostPaths
+    layout : Layout
+    lost_packets : float
+        Fraction of the packets from servers that arrive with a retransmission.
     """
 
     seed: int
@@ -74,6 +125,8 @@
     steps: tuple[Step, ...]
     repeated: tuple[Repeated, ...]
     lost_paths: tuple[paths.LostPaths, ...] = ()
+    layout: Layout = SMALL
+    lost_packets: float = 0.0
 
     @property
     def quiet_s(self) -> float:
@@ -84,20 +137,6 @@
         return max([*fault_ends_s, *step_ends_s, *path_ends_s], default=0.0)
 
 
-def vm_names() -> list[str]:
-    """Return the names of the VMs of all failure domains."""
-    return [
-        f"{domain}-vm{n}" for domain, count in N_DAEMONS.items() for n in range(count)
-    ]
-
-
-def server_names() -> list[str]:
-    """Return the ids of the backend servers."""
-    return [
-        f"{domain}-s{n}" for domain, count in N_SERVERS.items() for n in range(count)
-    ]
-
-
 def draw(seed: int) -> Schedule:
     """Draw a schedule; the same for the same seed.
 
@@ -148,10 +187,12 @@
     )
 
 
-def _draw_lost_paths(random_state: random.Random) -> paths.LostPaths:
+def _draw_lost_paths(
+    random_state: random.Random, layout: Layout = SMALL
+) -> paths.LostPaths:
     lost = [state for state in paths.State if state is not paths.State.OPEN]
-    vms = random_state.sample(vm_names(), random_state.randint(1, MAX_CUT_OFF))
-    all_servers = server_names()
+    vms = random_state.sample(layout.vm_names(), random_state.randint(1, MAX_CUT_OFF))
+    all_servers = layout.server_names()
     some = random_state.sample(all_servers, random_state.randint(1, len(all_servers)))
     return paths.LostPaths(
         random_state.uniform(2.0, 0.5 * FAULTS_WITHIN_S),
@@ -162,9 +203,55 @@
     )
 
 
+def draw_fleet(seed: int) -> Schedule:
+    """Draw a schedule in which requests crash servers before many daemons.
+
+    Daemons stand still or are cut off meanwhile, lose paths, and packets are lost.
+    """
+    random_state = random.Random(f"fleet {seed}")
+    from_s = random_state.uniform(1.0, 4.0)
+    repeated = tuple(
+        Repeated(
+            f"repeated-{n}", from_s, random_state.choice([1.0, 3.0, 8.0]), n % 2 == 0
+        )
+        for n in range(random_state.randint(1, MAX_FLEET_REPEATED))
+    )
+    crashing = tuple(
+        faults.Fault(
+            "", from_s, FAULTS_WITHIN_S, faults.Content(each.content_id), CRASH
+        )
+        for each in repeated
+    )
+    vms = FLEET.vm_names()
+    steps = tuple(
+        Step(
+            random_state.uniform(1.0, 0.5 * FAULTS_WITHIN_S),
+            random_state.uniform(1.0, MAX_FAULT_S),
+            random_state.choice([Disturbance.FREEZE, Disturbance.CUT]),
+            vm,
+        )
+        for vm in random_state.sample(vms, random_state.choice([0, 1, 3, 6]))
+    )
+    lost_paths = tuple(
+        _draw_lost_paths(random_state, FLEET)
+        for _ in range(random_state.choice([0, 0, 1]))
+    )
+    return Schedule(
+        seed,
+        random_state.choice([80.0, 240.0]),
+        crashing,
+        steps,
+        repeated,
+        lost_paths,
+        FLEET,
+        random_state.choice([0.0, 0.0, 0.03]),
+    )
+
+
 DRAWS: dict[str, Callable[[int], Schedule]] = {
     "servers": draw,
     "paths": draw_with_lost_paths,
+    "fleet": draw_fleet,
 }
 """Ways to draw a schedule, by what fails above all."""
 
@@ -172,13 +259,13 @@
 def _draw_fault(
     random_state: random.Random, repeated: tuple[Repeated, ...]
 ) -> faults.Fault:
-    server_id = random_state.choice(["", *server_names()])
+    server_id = random_state.choice(["", *SMALL.server_names()])
     from_s = random_state.uniform(1.0, 0.6 * FAULTS_WITHIN_S)
     until_s = from_s + random_state.uniform(2.0, MAX_FAULT_S)
     triggers: list[faults.Trigger] = [
         faults.Share(1.0),
         faults.Share(random_state.uniform(0.02, 0.5)),
-        faults.Sender(random_state.choice(vm_names())),
+        faults.Sender(random_state.choice(SMALL.vm_names())),
         faults.EachNth(random_state.randint(2, 9)),
         *(faults.Content(each.content_id) for each in repeated),
     ]
@@ -205,5 +292,5 @@
     kind = random_state.choice(list(Disturbance))
     at_s = random_state.uniform(1.0, 0.7 * FAULTS_WITHIN_S)
     for_s = random_state.uniform(0.5, 6.0)
-    vm = "" if kind is Disturbance.STORE_AWAY else random_state.choice(vm_names())
+    vm = "" if kind is Disturbance.STORE_AWAY else random_state.choice(SMALL.vm_names())
     return Step(at_s, for_s, kind, vm)
