Crashes: another daemon must show that it reaches a server before a crash is dropped

Cause: a daemon that loses a request with a server and can't reach it drops the crash if any linked daemon of its region hasn't told that its own path is lost. Silence was taken for 'reaches it': of daemons that stand still, are slow or cut off one way, and of those that heard from the server within a second and so had no reason to look. With 21 others that is likely even without a disturbance.

Change: a daemon drops a crash only if another one shows that it reaches the server: its probe began after it was told of the lost path and connected, which its next load report tells (n_reached; older builds ignore it and never tell it). If nobody does within 0.6 s and two load reports, or all have told that they don't reach it, the crash is reported. Three daemons probe for it although they have just heard from the server.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -10,7 +10,6 @@
     effects,
     events,
     holding_back,
-    server_path,
     server_table,
     state,
 )
@@ -27,9 +26,9 @@
 most crashes have another cause."""
 MIN_SERVERS_AT_ONCE = 2
 """Of so many servers lost at once, those that had the same request are reported."""
-REACH_KNOWN_S = 0.7
-"""Time after which the daemons of a region have told whether they reach a server to
-which one of them has lost its path: a probe takes 0.4 s, two reports 0.1 s each."""
+REACH_KNOWN_S = 0.6
+"""Time, besides two load reports, in which daemons probe a server for one that has lost
+its path: 0.5 s may pass between two probes."""
 REFUTED_AFTER_S = 0.5
 """Time after a reported crash from which on an answer of that start of the server shows
 that it had not crashed; an earlier one may have been on its way."""
@@ -164,12 +163,12 @@
     first_s = st.lost_servers[0].at_s
     at_once = [lost for lost in st.lost_servers if lost.at_s - first_s < AT_ONCE_S]
     vms = [entry.name for entry in st.members.linked_in_region()]
-    paths = [_path_to(st, lost) for lost in at_once]
-    is_reach_unknown = any(path and (path.is_lost or path.is_probing) for path in paths)
-    if vms and is_reach_unknown and now_s - first_s < REACH_KNOWN_S:
+    is_reach_unknown = any(_is_reach_unknown(st, lost, vms) for lost in at_once)
+    reach_known_s = REACH_KNOWN_S + 2 * st.daemon_loads_interval_s
+    if is_reach_unknown and now_s - first_s < reach_known_s:
         return
     del st.lost_servers[: len(at_once)]
-    at_once = [lost for lost in at_once if not _is_only_path_lost(st, lost, vms)]
+    at_once = [lost for lost in at_once if not _is_only_path_lost(st, lost)]
     reports = [
         crash_reports.CrashReport(
             lost.server, st.cfg.local_entry.name, tuple(lost.prompts)
@@ -221,8 +220,8 @@
 
 def _is_alive(st: state.State, lost: state.LostServer) -> bool:
     """Return whether a server went on serving this daemon after a lost connection."""
-    server = st.servers.by_id.get(lost.id)
-    if server is None or _name_of(server) != lost.server:
+    server = _find_server(st, lost)
+    if server is None:
         return False
     has_open_answer = any(
         attempt.has_begun for attempt in server.work.local_attempts.values()
@@ -230,20 +229,35 @@
     return has_open_answer or server.heard_s > lost.at_s
 
 
-def _path_to(st: state.State, lost: state.LostServer) -> server_path.ServerPath | None:
-    """Return the path to a server; None if that start of it is no longer listed."""
+def _find_server(
+    st: state.State, lost: state.LostServer
+) -> server_table.ServerState | None:
+    """Return a lost server; None if that start of it is no longer listed."""
     server = st.servers.by_id.get(lost.id)
     if server is None or _name_of(server) != lost.server:
         return None
-    return server.path
+    return server
+
+
+def _is_reach_unknown(st: state.State, lost: state.LostServer, vms: list[str]) -> bool:
+    """Return whether other daemons may still tell that they reach a server."""
+    server = _find_server(st, lost)
+    if server is None or not vms or _is_only_path_lost(st, lost):
+        return False
+    if server.path.is_lost:
+        return any(server.is_reached_by(vm) for vm in vms)
+    return server.path.is_probing
 
 
-def _is_only_path_lost(st: state.State, lost: state.LostServer, vms: list[str]) -> bool:
-    """Return whether other daemons reach a server that this one doesn't."""
-    path = _path_to(st, lost)
-    if path is None or not path.is_lost:
+def _is_only_path_lost(st: state.State, lost: state.LostServer) -> bool:
+    """Return whether another daemon has shown that it reaches a server.
+
+    One that tells nothing may stand still, be cut off, or not have tried.
+    """
+    server = _find_server(st, lost)
+    if server is None or not server.path.is_lost:
         return False
-    return any(st.servers.by_id[lost.id].is_reached_by(vm) for vm in vms)
+    return server.reached_elsewhere_s > lost.at_s
 
 
 def _name_of(server: server_table.ServerState) -> str:
--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -37,6 +37,9 @@
         What the server's last answer to the daemon says; see `server_room`.
     n_turned_away : int
         Requests that a brittle server had no room for since the last message.
+    n_reached : int
+        Probes of the server since the last message that began after another daemon had
+        lost its path and connected.
     """
 
     n_open: int = 0
@@ -52,6 +55,7 @@
     is_unreachable: bool = False
     brittle_per_s: float | None = None
     n_turned_away: int = 0
+    n_reached: int = 0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from bilberryridge.decisions import rendezvous
 from bilberryridge.decisions.ingress import (
     effects,
     events,
@@ -14,6 +15,8 @@
 """Paths lost within that time from which on all are doubted: one cause is likely."""
 HEARD_WITHIN_S = 1.0
 """Time after an answer in which another daemon's lost path says nothing of this one."""
+N_WITNESSES = 3
+"""Daemons that probe a server for another one although they have just heard from it."""
 MIN_SILENT_S, SILENT_FACTOR = 0.3, 3.0
 """Time without a word from a server, at least and as a multiple of the estimate, after
 which the path of a request that waits there is probed. It covers a retransmission."""
@@ -75,6 +78,10 @@
     if not event.is_connected:
         _record_failure(st, server, now_s)
         return
+    if server.work.unreachable_vms and server.path.is_probed_since(
+        server.lost_elsewhere_s
+    ):
+        server.n_reached_unreported += 1
     if server.path.is_lost:
         change = f"path to {server.record.id} is back"
         st.emit(effects.LogStateChange("path", change))
@@ -87,15 +94,21 @@
     shares: Mapping[str, load_messages.ServerShare],
     now_s: float,
 ) -> None:
-    """Probe the paths that a daemon of the region has lost."""
+    """Probe the paths that a daemon of the region has lost; learn what others reach."""
     for server_id, share in shares.items():
         server = st.servers.by_id.get(server_id)
-        if server is None or not share.is_unreachable:
+        if server is None:
             continue
+        if share.n_reached > 0:
+            server.reached_elsewhere_s = now_s
         before = server.work.peer_shares.get(vm, load_messages.ServerShare())
+        if before.is_unreachable or not share.is_unreachable:
+            continue
+        server.lost_elsewhere_s = now_s
         is_heard = now_s - server.heard_s < HEARD_WITHIN_S
-        if not before.is_unreachable and not is_heard:
-            _ask(st, server, now_s)
+        if not is_heard or _is_witness(st, server, vm):
+            server.path.ask_for_other(now_s)
+            _probe_if_due(st, server, now_s)
 
 
 def on_tick(st: state.State, now_s: float) -> None:
@@ -104,6 +117,14 @@
         _probe_if_due(st, server, now_s)
 
 
+def _is_witness(st: state.State, server: server_table.ServerState, vm: str) -> bool:
+    """Return whether this daemon probes a server to which another has lost its path."""
+    names = {entry.name for entry in st.members.linked_in_region()} - {vm}
+    own_name = st.cfg.local_entry.name
+    ranked = rendezvous.ranked(f"{server.record.id} {vm}", [*names, own_name])
+    return own_name in ranked[:N_WITNESSES]
+
+
 def _record_failure(
     st: state.State, server: server_table.ServerState, now_s: float
 ) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/server_path.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_path.py
@@ -65,11 +65,12 @@
 
     def record_connected(self) -> None:
         """Record that a new connection was made."""
+        if self.is_lost:
+            self._probe_s = math.inf
         self.is_lost = False
         self._is_doubted = False
         self.is_probing = False
         self._probe_after_s = FIRST_PROBE_AFTER_S
-        self._probe_s = math.inf
 
     def ask(self, now_s: float, is_doubted: bool = False) -> None:
         """Ask for a probe, as the path may be lost.
@@ -86,6 +87,11 @@
             self._is_doubted = self._is_doubted or is_doubted
             self._probe_s = now_s
 
+    def ask_for_other(self, now_s: float) -> None:
+        """Ask for a probe that begins after another daemon lost its path."""
+        if not self.is_lost:
+            self._probe_s = max(now_s, self._probed_s + MIN_PROBE_INTERVAL_S)
+
     def is_probed_since(self, at_s: float) -> bool:
         """Return whether a probe has begun since a moment."""
         return self._probed_s >= at_s
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -79,6 +79,12 @@
     room : ServerRoom
     heard_s : float
         When it last began an answer to this daemon.
+    lost_elsewhere_s : float
+        When another daemon last told that it has lost its path.
+    reached_elsewhere_s : float
+        When another daemon last told that it reaches the server all the same.
+    n_reached_unreported : int
+        See `load_messages.ServerShare`.
     """
 
     record: ingress.BackendServer
@@ -102,6 +108,9 @@
     limit: server_limit.ServerLimit = attrs.field(factory=server_limit.ServerLimit)
     room: server_room.ServerRoom = attrs.field(factory=server_room.ServerRoom)
     heard_s: float = -math.inf
+    lost_elsewhere_s: float = -math.inf
+    reached_elsewhere_s: float = -math.inf
+    n_reached_unreported: int = 0
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
 
@@ -404,11 +413,15 @@
         changed = {}
         for server_id, server in self.by_id.items():
             share = server.local_share(tuple(server.new_parts), now_s)
-            if server.limit.n_unreported or server.room.n_unreported:
+            n_limited_sends = server.limit.n_unreported
+            n_turned_away = server.room.n_unreported
+            n_reached = server.n_reached_unreported
+            if n_limited_sends or n_turned_away or n_reached:
                 share = attrs.evolve(
                     share,
-                    n_limited_sends=server.limit.n_unreported,
-                    n_turned_away=server.room.n_unreported,
+                    n_limited_sends=n_limited_sends,
+                    n_turned_away=n_turned_away,
+                    n_reached=n_reached,
                 )
             if share == server.last_reported:
                 continue
@@ -416,6 +429,7 @@
             server.new_parts.clear()
             server.limit.n_unreported = 0
             server.room.n_unreported = 0
+            server.n_reached_unreported = 0
             server.last_reported = _without_counts(share)
         return changed
 
@@ -480,8 +494,11 @@
 
 def _without_counts(share: load_messages.ServerShare) -> load_messages.ServerShare:
     """Return a share without what counts since the message before."""
-    if share.parts or share.n_limited_sends or share.n_turned_away:
-        return attrs.evolve(share, parts=(), n_limited_sends=0, n_turned_away=0)
+    counts = (share.n_limited_sends, share.n_turned_away, share.n_reached)
+    if share.parts or any(counts):
+        return attrs.evolve(
+            share, parts=(), n_limited_sends=0, n_turned_away=0, n_reached=0
+        )
     return share
 
 
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -129,6 +129,7 @@
             share.is_unreachable,
             share.brittle_per_s,
             share.n_turned_away,
+            share.n_reached,
         ]
         for server_id, share in message.by_server.items()
     }
@@ -153,7 +154,7 @@
     for server_id, share in fields[0].items():
         parts = tuple((str(part), int(n)) for part, n in share[4])
         n_open, n_pending, n_urgent, n_memory = (int(value) for value in share[:4])
-        # Daemons of older builds tell seven, eight or ten values.
+        # Daemons of older builds tell seven, eight, ten or thirteen values.
         brittle_per_s, n_turned_away = share[11:13] if len(share) > 12 else (None, 0)
         leaving_start_ms = int(share[7]) if len(share) > 7 else 0
         limit_per_s, n_limited_sends = share[8:10] if len(share) > 9 else (None, 0)
@@ -171,6 +172,7 @@
             bool(share[10]) if len(share) > 10 else False,
             None if brittle_per_s is None else float(brittle_per_s),
             int(n_turned_away),
+            int(share[13]) if len(share) > 13 else 0,
         )
     # Daemons of older builds tell no streams.
     streams = _unpack_streams(fields[1]) if len(fields) > 1 else ()
