Crashes: an open answer doesn't show that a server lives where no connection is made

Cause: a daemon that lost a request with a server dropped the crash while another of its answers from that server had begun and not ended. Where the end of that connection is late, as its packet was lost, the answer is silent, and silence was taken for life.

Test: a stream that has begun beside the lost request, at a server that takes no new connection; nothing was reported before.

Change: an open answer counts only where the path to the server isn't lost. An answer whose head arrives after the loss counts as before.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -219,11 +219,14 @@
 
 
 def _is_alive(st: state.State, lost: state.LostServer) -> bool:
-    """Return whether a server went on serving this daemon after a lost connection."""
+    """Return whether a server went on serving this daemon after a lost connection.
+
+    Where no new connection is made, an open answer may only not have ended here yet.
+    """
     server = _find_server(st, lost)
     if server is None:
         return False
-    has_open_answer = any(
+    has_open_answer = not server.path.is_lost and any(
         attempt.has_begun for attempt in server.work.local_attempts.values()
     )
     return has_open_answer or server.heard_s > lost.at_s
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_path_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_path_handlers.py
@@ -362,6 +362,18 @@
     assert crash_reports_told(daemon, 0.2) == {f"{name}.0"}
 
 
+@pytest.mark.parametrize(("is_connected", "names"), [(False, {"a.0"}), (True, set())])
+def test_crash_is_told_though_the_end_of_another_answer_is_late(is_connected, names):
+    engine = deployment.server("a", "model", n_slots=64)
+    daemon = deployment.Daemon([engine], peers=(REMOTE,))
+    going_on = daemon.arrive("1", "query", prompt=deployment.prompt())
+    daemon.handle(events.AttemptBegan("1", going_on.attempt_id, is_committed=True))
+    sent = daemon.arrive("2", "query", prompt=deployment.prompt(), content_id="c")
+    daemon.end(sent, "lost", is_disconnected=True)
+    probe(daemon, "a", is_connected)
+    assert crash_reports_told(daemon, 0.5) == names
+
+
 def test_neighbour_takes_no_more_relayed_requests_than_it_can_serve():
     daemon = deployment.Daemon([deployment.server("a", n_slots=1_000)])
     taken = [
