Limits: single answers that name no limit don't end it

Cause: one answer without a limit, a second after the last with one, ended the limit, and the next load report ended it for all daemons. A server may leave the field out of an answer (an error, an answer made on the way). With few daemons the next answer names it again at once; with 22 each hears an answer every tenth second of the limit, and while no limit is known nothing is counted.

Change: answers without a limit are counted over all daemons since the last with one; as many as the server gives in 2 s show nothing. Each further one lets two requests follow, so that only answers open the server, and their number doubles with each answer time; after 24 more there is no limit. Load reports tell named and unnamed answers apart. A daemon of an older build tells an unnamed answer as a changed limit, which counts as one.

One check said that a single answer ends a limit; it now needs the count, with the times as before.

--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -28,7 +28,7 @@
     leaving_start_ms : int
         Start time of the server if it has told the daemon that it leaves; 0 otherwise.
     limit_per_s : float or None
-        Rate limit that the server's last answer to the daemon names; None for none.
+        Rate limit that the server's answers to the daemon name; None for none.
     n_limited_sends : int
         Requests that the daemon sent there under a limit since the last message.
     is_unreachable : bool
@@ -40,6 +40,10 @@
     n_reached : int
         Probes of the server since the last message that began after another daemon had
         lost its path and connected.
+    is_limit_named : bool
+        Whether an answer since the last message names that limit.
+    n_limit_unnamed : int
+        Answers since then, and since that one, that name no limit.
     """
 
     n_open: int = 0
@@ -56,6 +60,8 @@
     brittle_per_s: float | None = None
     n_turned_away: int = 0
     n_reached: int = 0
+    is_limit_named: bool = False
+    n_limit_unnamed: int = 0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/server_limit.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_limit.py
@@ -20,8 +20,17 @@
 MIN_REQUESTS_PER_S = 0.25
 """Lowest rate in use: only an answer can tell that a server takes more again."""
 HOLD_S = 1.0
-"""Time after which an answer that names no limit ends one: answers on several
-connections overtake each other."""
+"""Time for which a limit holds at least: answers on several connections overtake each
+other."""
+UNNAMED_S = 2.0
+MIN_UNNAMED, MAX_UNNAMED = 1, 6
+"""Answers in a row without a limit that show nothing: as many as a server gives in that
+time at the rate, between these bounds."""
+N_RELEASED = 24
+"""Further answers without a limit after which there is none."""
+RELEASE_GAIN = 2.0
+"""Requests that each of them lets follow, so that their number doubles with each answer
+time while no limit is named."""
 RECENT_S = 5.0
 """Time constant of the daemon's part of the requests."""
 PART_GAIN = 2.0
@@ -37,7 +46,8 @@
 
     def add(self, n_requests: float, now_s: float, rate: float) -> None:
         elapsed_s = now_s - self.counted_s
-        self.n_requests = max(0.0, self.n_requests - rate * elapsed_s) + n_requests
+        n_before = max(0.0, self.n_requests - rate * elapsed_s)
+        self.n_requests = max(0.0, n_before + n_requests)
         self.counted_s = now_s
 
     def opens_s(self, rate: float, n_burst: float) -> float:
@@ -56,6 +66,10 @@
         The limit in the last answer that this daemon got from the server.
     n_unreported : int
         Requests that this daemon sent under a limit since its last load report.
+    is_naming_unreported : bool
+        Whether a later answer to this daemon named the limit.
+    n_unnamed_unreported : int
+        Answers to this daemon without a limit after that.
 
     Examples
     --------
@@ -68,15 +82,20 @@
     >>> limit.record_sent_by_others(1, 10.6)
     >>> limit.opens_s
     11.5
-    >>> limit.record_unnamed(sent_s=10.8, now_s=11.1), limit.is_open(11.1)
-    (True, True)
+    >>> limit.record_unnamed(sent_s=10.8, now_s=11.1), limit.per_s
+    (False, 2.0)
+    >>> limit.record_unnamed(sent_s=11.8, now_s=12.1, n_answers=40), limit.per_s
+    (True, None)
     """
 
     def __init__(self) -> None:
         self.per_s: float | None = None
         self.answered_per_s: float | None = None
         self.n_unreported = 0
+        self.is_naming_unreported = False
+        self.n_unnamed_unreported = 0
         self._named_s = -math.inf
+        self._n_unnamed = 0
         self._total = _Backlog()
         self._own = _Backlog()
         self._n_recent_own = 0.0
@@ -108,6 +127,7 @@
         now_s : float
         """
         self._named_s = now_s
+        self._n_unnamed = 0
         if per_s == self.per_s:
             return False
         if self.per_s is None:
@@ -122,17 +142,35 @@
         self._own.n_requests = min(self._own.n_requests, self._n_own_burst)
         return True
 
-    def record_unnamed(self, sent_s: float, now_s: float) -> bool:
-        """Record an answer that names no limit; return whether it ends one.
+    def is_outdated(self, sent_s: float) -> bool:
+        """Return whether the limit was named after a request was sent."""
+        return sent_s < self._named_s
+
+    def record_unnamed(self, sent_s: float, now_s: float, n_answers: int = 1) -> bool:
+        """Record answers that name no limit; return whether they end one.
+
+        A server may leave its limit out of an answer, and what stands between may
+        answer for it, so that single answers show nothing. Only answers to requests
+        that the limit allows can show that there is none, so each of many lets more
+        requests follow.
 
         Parameters
         ----------
         sent_s : float
-            When its request was sent; it may be older than the last named limit.
+            When the request of the earliest was sent.
         now_s : float
+        n_answers : int
+            Of this daemon or of others.
         """
-        is_later = sent_s >= self._named_s and now_s >= self._named_s + HOLD_S
-        if self.per_s is None or not is_later:
+        if self.per_s is None or self.is_outdated(sent_s):
+            return False
+        n_before = max(self._n_unnamed, self._n_unnamed_tolerated)
+        self._n_unnamed += n_answers
+        n_released = RELEASE_GAIN * max(0, self._n_unnamed - n_before)
+        self._total.add(-n_released, now_s, self._rate)
+        self._own.add(-n_released, now_s, self._part * self._rate)
+        n_enough = self._n_unnamed_tolerated + N_RELEASED
+        if self._n_unnamed < n_enough or now_s < self._named_s + HOLD_S:
             return False
         self.per_s = None
         return True
@@ -172,6 +210,11 @@
         assert self.per_s is not None
         return max(MIN_REQUESTS_PER_S, self.per_s)
 
+    @property
+    def _n_unnamed_tolerated(self) -> int:
+        n_answers = math.ceil(UNNAMED_S * self._rate)
+        return min(MAX_UNNAMED, max(MIN_UNNAMED, n_answers))
+
     @property
     def _n_burst(self) -> float:
         return max(MIN_BURST, BURST_S * self._rate)
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -48,6 +48,18 @@
 parts."""
 
 
+_NO_SHARE = load_messages.ServerShare()
+_COUNTED = (
+    "parts",
+    "n_limited_sends",
+    "n_turned_away",
+    "n_reached",
+    "is_limit_named",
+    "n_limit_unnamed",
+)
+"""Fields of a share that tell what has happened since the message before."""
+
+
 @attrs.define
 class ServerState:
     """State of a backend server as seen by this daemon.
@@ -211,6 +223,28 @@
             brittle_per_s=self.room.answered_per_s,
         )
 
+    def with_counts(
+        self, share: load_messages.ServerShare
+    ) -> load_messages.ServerShare:
+        """Return a share with what has happened since the last load report."""
+        return attrs.evolve(
+            share,
+            n_limited_sends=self.limit.n_unreported,
+            n_turned_away=self.room.n_unreported,
+            n_reached=self.n_reached_unreported,
+            is_limit_named=self.limit.is_naming_unreported,
+            n_limit_unnamed=self.limit.n_unnamed_unreported,
+        )
+
+    def clear_counts(self) -> None:
+        """Begin to count for the next load report."""
+        self.new_parts.clear()
+        self.limit.n_unreported = 0
+        self.limit.is_naming_unreported = False
+        self.limit.n_unnamed_unreported = 0
+        self.room.n_unreported = 0
+        self.n_reached_unreported = 0
+
     @property
     def has_own_word(self) -> bool:
         """Whether this daemon has more to tell of the server than its open work."""
@@ -413,23 +447,11 @@
         changed = {}
         for server_id, server in self.by_id.items():
             share = server.local_share(tuple(server.new_parts), now_s)
-            n_limited_sends = server.limit.n_unreported
-            n_turned_away = server.room.n_unreported
-            n_reached = server.n_reached_unreported
-            if n_limited_sends or n_turned_away or n_reached:
-                share = attrs.evolve(
-                    share,
-                    n_limited_sends=n_limited_sends,
-                    n_turned_away=n_turned_away,
-                    n_reached=n_reached,
-                )
+            share = server.with_counts(share)
             if share == server.last_reported:
                 continue
             changed[server_id] = share
-            server.new_parts.clear()
-            server.limit.n_unreported = 0
-            server.room.n_unreported = 0
-            server.n_reached_unreported = 0
+            server.clear_counts()
             server.last_reported = _without_counts(share)
         return changed
 
@@ -494,12 +516,8 @@
 
 def _without_counts(share: load_messages.ServerShare) -> load_messages.ServerShare:
     """Return a share without what counts since the message before."""
-    counts = (share.n_limited_sends, share.n_turned_away, share.n_reached)
-    if share.parts or any(counts):
-        return attrs.evolve(
-            share, parts=(), n_limited_sends=0, n_turned_away=0, n_reached=0
-        )
-    return share
+    changes = {name: getattr(_NO_SHARE, name) for name in _COUNTED}
+    return attrs.evolve(share, **changes)
 
 
 def _is_restart(before: ingress.BackendServer, after: ingress.BackendServer) -> bool:
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -47,8 +47,7 @@
         if server is None:
             continue
         before = server.work.peer_shares.get(vm, load_messages.ServerShare())
-        if share.limit_per_s != before.limit_per_s:
-            _change_limit(st, server, share.limit_per_s, now_s, now_s, {"told_by": vm})
+        _learn_limit(st, server, share, before, vm, now_s)
         if share.brittle_per_s != before.brittle_per_s:
             told_by = {"told_by": vm}
             _change_brittle(st, server, share.brittle_per_s, now_s, now_s, told_by)
@@ -59,6 +58,27 @@
             server.limit.record_sent_by_others(share.n_limited_sends, now_s, weight)
 
 
+def _learn_limit(
+    st: state.State,
+    server: server_table.ServerState,
+    share: load_messages.ServerShare,
+    before: load_messages.ServerShare,
+    vm: str,
+    now_s: float,
+) -> None:
+    """Learn what a server has answered to another daemon."""
+    told_by = {"told_by": vm}
+    is_changed = share.limit_per_s != before.limit_per_s
+    if share.limit_per_s is not None and (is_changed or share.is_limit_named):
+        _name_limit(st, server, share.limit_per_s, now_s, told_by)
+    n_unnamed = share.n_limit_unnamed
+    if is_changed and share.limit_per_s is None:
+        # A daemon of an older build tells no more of such an answer.
+        n_unnamed = max(1, n_unnamed)
+    if n_unnamed:
+        _count_unnamed_limit(st, server, now_s, now_s, n_unnamed, told_by)
+
+
 def on_turned_away(
     server: server_table.ServerState, event: events.AttemptEnded, now_s: float
 ) -> None:
@@ -108,27 +128,44 @@
     now_s: float,
 ) -> None:
     """Keep the limit that an answer to a request sent at some time names."""
-    _change_limit(st, server, limit_per_s, sent_s, now_s, {"request": said_to})
-    if limit_per_s is not None or server.limit.per_s is None:
-        server.limit.answered_per_s = limit_per_s
+    limit = server.limit
+    said = {"request": said_to}
+    if limit_per_s is not None:
+        _name_limit(st, server, limit_per_s, now_s, said)
+        limit.answered_per_s = limit_per_s
+        limit.is_naming_unreported = True
+        limit.n_unnamed_unreported = 0
+        return
+    if limit.per_s is not None and not limit.is_outdated(sent_s):
+        limit.n_unnamed_unreported += 1
+    _count_unnamed_limit(st, server, sent_s, now_s, 1, said)
+    if limit.per_s is None:
+        limit.answered_per_s = None
 
 
-def _change_limit(
+def _name_limit(
     st: state.State,
     server: server_table.ServerState,
-    limit_per_s: float | None,
-    sent_s: float,
+    limit_per_s: float,
     now_s: float,
     log_fields: dict[str, Any],
 ) -> None:
-    if limit_per_s is None:
-        is_changed = server.limit.record_unnamed(sent_s, now_s)
-        change = f"{server.record.id} names no limit"
-    else:
-        is_changed = server.limit.record_named(limit_per_s, now_s)
+    if server.limit.record_named(limit_per_s, now_s):
         change = f"{server.record.id} names a limit"
         log_fields = {"limit_per_s": limit_per_s, **log_fields}
-    if is_changed:
+        st.emit(effects.LogStateChange("server", change, log_fields))
+
+
+def _count_unnamed_limit(
+    st: state.State,
+    server: server_table.ServerState,
+    sent_s: float,
+    now_s: float,
+    n_answers: int,
+    log_fields: dict[str, Any],
+) -> None:
+    if server.limit.record_unnamed(sent_s, now_s, n_answers):
+        change = f"{server.record.id} names no limit"
         st.emit(effects.LogStateChange("server", change, log_fields))
 
 
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -130,6 +130,8 @@
             share.brittle_per_s,
             share.n_turned_away,
             share.n_reached,
+            share.is_limit_named,
+            share.n_limit_unnamed,
         ]
         for server_id, share in message.by_server.items()
     }
@@ -173,6 +175,8 @@
             None if brittle_per_s is None else float(brittle_per_s),
             int(n_turned_away),
             int(share[13]) if len(share) > 13 else 0,
+            bool(share[14]) if len(share) > 14 else False,
+            int(share[15]) if len(share) > 15 else 0,
         )
     # Daemons of older builds tell no streams.
     streams = _unpack_streams(fields[1]) if len(fields) > 1 else ()
