Limits: daemons that wait for a server to open don't all send at once

Cause: when the rate opened, each daemon might send one request, whatever the others did, before it heard of theirs; the load reports of 22 daemons come every 0.22 s, of 65 every 0.65 s. An excess is made up for over 4 s at most, so with many daemons and a low rate each opening exceeded it. A daemon that had not sent yet counted itself as the only sender.

Change: after the rate opens a daemon leaves the next request to the others for a random time that is longer the more daemons there are and the smaller its own part of the requests, as on a shared medium. Requests under a limit are reported in a quarter of the interval, and a daemon learns its part also from what the others send.

--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -10,6 +10,7 @@
     load_messages,
     path_handlers,
     prefill_load,
+    sending,
     server_table,
     server_word_handlers,
     state,
@@ -70,7 +71,10 @@
     """Send the load reports that are due to other daemons."""
     local_region = st.cfg.local_entry.region
     st.servers.n_daemons = st.members.index_in_region(now_s)[1]
-    if now_s - st.daemon_loads_reported_s >= st.daemon_loads_interval_s:
+    interval_s = st.daemon_loads_interval_s
+    if st.servers.has_unreported_limited_sends:
+        interval_s *= sending.LIMITED_LOADS_FACTOR
+    if now_s - st.daemon_loads_reported_s >= interval_s:
         local_peers = [e for e in st.members.linked() if e.region == local_region]
         st.daemon_loads_reported_s = now_s
         st.daemon_loads_interval_s = max(
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -7,6 +7,7 @@
     effects,
     open_work,
     placement,
+    server_limit,
     state,
     take_ups,
 )
@@ -22,6 +23,11 @@
 """Added to that timeout; covers the slowest answers of a plain server and the queue of
 an engine."""
 MAX_LOGGED_PARTS = 8
+LIMITED_LOADS_FACTOR = 0.25
+"""Factor on the interval of load reports while requests under a server's rate limit are
+unreported: the others must know of them, and the limit bounds how many there are."""
+TELLING_S = 0.1
+"""Time, besides that interval, until a request is known to others."""
 
 
 def send_to_server(
@@ -48,8 +54,7 @@
         server.warm_up_gate.record_send(now_s)
     server.availability.record_sent(now_s)
     if server.limit.per_s is not None:
-        _, n_daemons = st.members.index_in_region(now_s)
-        server.limit.record_sent(now_s, st.members.reach_weight(now_s), n_daemons)
+        server.limit.record_sent(now_s, limit_senders(st, now_s))
     total = server.work.sums
     log_fields: dict[str, Any] = {
         "route": item.route.name,
@@ -87,6 +92,17 @@
     )
 
 
+def limit_senders(st: state.State, now_s: float) -> server_limit.Senders:
+    """Return the daemons that share the rate limit of a server of this region."""
+    _, n_daemons = st.members.index_in_region(now_s)
+    return server_limit.Senders(
+        n_daemons,
+        st.members.reach_weight(now_s),
+        LIMITED_LOADS_FACTOR * st.daemon_loads_interval_s + TELLING_S,
+        st.random_state.random(),
+    )
+
+
 def send_to_peer(
     st: state.State,
     item: state.OpenRequest,
--- a/packages/decisions/bilberryridge/decisions/ingress/server_limit.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_limit.py
@@ -3,7 +3,8 @@
 Each daemon counts its own requests and those that the other daemons report, and sends
 only while the total is within the rate. Daemons that send at the same moment don't know
 of each other's request yet; the excess is made up for before the next one is sent. Each
-daemon keeps to about twice its recent part of the requests, which bounds that excess.
+daemon keeps to about twice its recent part of the requests, and waits for a random time
+that is longer the more daemons there are, which bounds that excess.
 """
 
 import math
@@ -22,8 +23,8 @@
 HOLD_S = 1.0
 """Time for which a limit holds at least: answers on several connections overtake each
 other."""
-UNNAMED_S = 2.0
-MIN_UNNAMED, MAX_UNNAMED = 1, 6
+UNNAMED_S = 4.0
+MIN_UNNAMED, MAX_UNNAMED = 1, 4
 """Answers in a row without a limit that show nothing: as many as a server gives in that
 time at the rate, between these bounds."""
 N_RELEASED = 24
@@ -31,12 +32,39 @@
 RELEASE_GAIN = 2.0
 """Requests that each of them lets follow, so that their number doubles with each answer
 time while no limit is named."""
+N_AT_ONCE, AT_ONCE_S = 3.0, 5.0
+"""Requests that daemons may send before they know of each other's: some, and those of
+that time at the named rate."""
 RECENT_S = 5.0
 """Time constant of the daemon's part of the requests."""
 PART_GAIN = 2.0
 """Multiple of that part up to which the daemon may send."""
 
 
+@attrs.frozen
+class Senders:
+    """The daemons that may send to a server, as one of them knows them.
+
+    Parameters
+    ----------
+    n_daemons : int
+    weight : float
+        Number of daemons for each one that can be heard.
+    delay_s : float
+        Time until the others know of a request.
+    draw : float
+        Random number, 0 to 1.
+    """
+
+    n_daemons: int = 1
+    weight: float = 1.0
+    delay_s: float = 0.0
+    draw: float = 0.0
+
+
+ALONE = Senders()
+
+
 @attrs.define
 class _Backlog:
     """Requests sent that the rate has not yet made up for."""
@@ -79,7 +107,7 @@
     >>> limit.is_open(10.4), limit.is_open(10.5)
     (False, True)
     >>> limit.record_sent(10.5)
-    >>> limit.record_sent_by_others(1, 10.6)
+    >>> limit.record_sent_by_others(1, 10.6, ALONE)
     >>> limit.opens_s
     11.5
     >>> limit.record_unnamed(sent_s=10.8, now_s=11.1), limit.per_s
@@ -102,6 +130,7 @@
         self._n_recent = 0.0
         self._recent_s = 0.0
         self._part = 1.0
+        self._wait_s = 0.0
 
     @property
     def opens_s(self) -> float:
@@ -109,7 +138,7 @@
         if self.per_s is None:
             return -math.inf
         return max(
-            self._total.opens_s(self._rate, self._n_burst),
+            self._total.opens_s(self._rate, self._n_burst) + self._wait_s,
             self._own.opens_s(self._part * self._rate, self._n_own_burst),
         )
 
@@ -175,35 +204,23 @@
         self.per_s = None
         return True
 
-    def record_sent(
-        self, now_s: float, weight: float = 1.0, n_daemons: int = 1
-    ) -> None:
-        """Count a request of this daemon.
-
-        Parameters
-        ----------
-        now_s : float
-        weight : float
-            Number of daemons whose requests it stands for.
-        n_daemons : int
-            Daemons that may send to the server.
-        """
+    def record_sent(self, now_s: float, senders: Senders = ALONE) -> None:
+        """Count a request of this daemon."""
         if self.per_s is None:
             return
         self.n_unreported += 1
-        self._count_recent(1, 1, now_s)
-        own_part = PART_GAIN * self._n_recent_own / self._n_recent
         self._own.add(1, now_s, self._part * self._rate)
-        self._part = min(1.0, own_part + 1 / n_daemons)
-        self._count(weight, now_s)
+        self._count_recent(1, 1, now_s, senders)
+        self._count(1, now_s, senders)
 
     def record_sent_by_others(
-        self, n_requests: int, now_s: float, weight: float = 1.0
+        self, n_requests: int, now_s: float, senders: Senders
     ) -> None:
         """Count requests that other daemons report; see `record_sent`."""
         if self.per_s is not None:
-            self._count_recent(0, n_requests, now_s)
-            self._count(weight * n_requests, now_s)
+            self._own.add(0, now_s, self._part * self._rate)
+            self._count_recent(0, n_requests, now_s, senders)
+            self._count(n_requests, now_s, senders)
 
     @property
     def _rate(self) -> float:
@@ -223,13 +240,24 @@
     def _n_own_burst(self) -> float:
         return max(1.0, self._part * self._n_burst)
 
-    def _count(self, n_requests: float, now_s: float) -> None:
-        self._total.add(n_requests, now_s, self._rate)
+    def _count(self, n_requests: float, now_s: float, senders: Senders) -> None:
+        self._total.add(senders.weight * n_requests, now_s, self._rate)
         n_max = self._n_burst + MAX_EXCESS_S * self._rate
         self._total.n_requests = min(n_max, self._total.n_requests)
+        self._wait_s = senders.draw * self._longest_wait_s(senders)
+
+    def _longest_wait_s(self, senders: Senders) -> float:
+        """Return the longest time to leave the next request to another daemon."""
+        others_part = max(0.0, 1.0 - self._part)
+        n_at_once = N_AT_ONCE + AT_ONCE_S * self._rate
+        return others_part * senders.n_daemons * senders.delay_s / n_at_once
 
-    def _count_recent(self, n_own: int, n_requests: int, now_s: float) -> None:
+    def _count_recent(
+        self, n_own: int, n_requests: int, now_s: float, senders: Senders
+    ) -> None:
         decay = math.exp((self._recent_s - now_s) / RECENT_S)
         self._recent_s = now_s
         self._n_recent_own = decay * self._n_recent_own + n_own
         self._n_recent = decay * self._n_recent + n_requests
+        own_part = PART_GAIN * self._n_recent_own / self._n_recent
+        self._part = min(1.0, own_part + 1 / senders.n_daemons)
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -455,6 +455,11 @@
             server.last_reported = _without_counts(share)
         return changed
 
+    @property
+    def has_unreported_limited_sends(self) -> bool:
+        """Whether a request under a rate limit was sent since the last load report."""
+        return any(server.limit.n_unreported for server in self.by_id.values())
+
     def all_shares(self, now_s: float) -> dict[str, load_messages.ServerShare]:
         """Return all of this daemon's shares, for a newly linked daemon."""
         return {
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -8,6 +8,7 @@
     effects,
     events,
     load_messages,
+    sending,
     server_availability,
     server_table,
     state,
@@ -54,8 +55,8 @@
         if share.n_turned_away > 0:
             server.room.record_turned_away(share.n_turned_away, now_s)
         if share.n_limited_sends > 0:
-            weight = st.members.reach_weight(now_s)
-            server.limit.record_sent_by_others(share.n_limited_sends, now_s, weight)
+            senders = sending.limit_senders(st, now_s)
+            server.limit.record_sent_by_others(share.n_limited_sends, now_s, senders)
 
 
 def _learn_limit(
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_server_limit.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_server_limit.py
@@ -13,6 +13,7 @@
 
 WINDOW_S = 4.0
 IN_FORCE_AFTER_S = 1.0
+CONTACT_S = 5.0
 LINK_DELAY_S = 0.003
 ANSWER_S = 0.03
 TICK_S = 0.05
@@ -28,9 +29,11 @@
     limit_per_s : float or None
     unnamed_fraction : float
         Answers that name no limit all the same.
+    answer_s : float
     """
 
-    def __init__(self, n_daemons, limit_per_s, unnamed_fraction=0.0):
+    def __init__(self, n_daemons, limit_per_s, unnamed_fraction=0.0, answer_s=ANSWER_S):
+        self.answer_s = answer_s
         self.limit_per_s = limit_per_s
         self.unnamed_fraction = unnamed_fraction
         self.received_s = []
@@ -99,7 +102,7 @@
 
     def _receive(self, name, sent):
         self.received_s.append(self._now_s - self.began_s)
-        self._at(self._now_s + ANSWER_S, self._answer, name, sent)
+        self._at(self._now_s + self.answer_s, self._answer, name, sent)
 
     def _answer(self, name, sent):
         ids = (sent.request_id, sent.attempt_id)
@@ -107,7 +110,11 @@
         limit_per_s = self.limit_per_s if is_named else None
         self._handle(name, events.ServerSaid(*ids, limit_per_s=limit_per_s))
         ended = events.AttemptEnded(
-            *ids, events.AttemptResult.ANSWERED, 200, first_s=ANSWER_S, took_s=ANSWER_S
+            *ids,
+            events.AttemptResult.ANSWERED,
+            200,
+            first_s=self.answer_s,
+            took_s=self.answer_s,
         )
         self._handle(name, ended)
 
@@ -138,6 +145,21 @@
     assert len(region.received_s) >= 0.8 * limit_per_s * PLAYED_S
 
 
+@pytest.mark.parametrize("n_daemons", [9, 22, 65])
+@pytest.mark.parametrize("limit_per_s", [0.5, 2.0])
+@pytest.mark.parametrize("answer_s", [0.03, 1.0])
+def test_daemons_that_all_wait_for_a_limit_to_open_dont_exceed_it(
+    n_daemons, limit_per_s, answer_s
+):
+    region = Region(n_daemons, limit_per_s, answer_s=answer_s)
+    region.offer(list(region.daemons), 60.0, 0.0, 2 * PLAYED_S)
+    region.run(2 * PLAYED_S)
+    n_most = region.most_in_window(CONTACT_S)
+    assert n_most <= 1.5 * WINDOW_S * limit_per_s + 5
+    n_later = sum(at_s >= CONTACT_S for at_s in region.received_s)
+    assert n_later >= 0.6 * limit_per_s * (2 * PLAYED_S - CONTACT_S)
+
+
 def test_daemons_that_cannot_hear_each_other_keep_a_limit_together():
     region = Region(3, 10.0)
     region.cut_links()
@@ -190,7 +212,7 @@
 
 @pytest.mark.parametrize("n_daemons", [3, 9, 22])
 @pytest.mark.parametrize("limit_per_s", [0.5, 2.0, 5.0])
-@pytest.mark.parametrize("fraction", [0.02, 0.1, 0.3])
+@pytest.mark.parametrize("fraction", [0.02, 0.1, 0.3, 0.5])
 def test_answers_without_a_limit_between_others_dont_end_it(
     n_daemons, limit_per_s, fraction
 ):
@@ -214,7 +236,7 @@
 def test_requests_of_daemons_that_know_no_limits_stop_a_server_for_seconds_only():
     limit = server_limit.ServerLimit()
     limit.record_named(2.0, 10.0)
-    limit.record_sent_by_others(1_000, 11.0)
+    limit.record_sent_by_others(1_000, 11.0, server_limit.ALONE)
     assert limit.opens_s <= 11.0 + server_limit.MAX_EXCESS_S + 0.5
 
 
