--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -109,6 +109,8 @@
         TypeError,
         ValueError,
         AttributeError,
+        ArithmeticError,
+        RecursionError,
     ) as exc:
         raise codec.CodecError(f"not a message on a link: {exc!r}") from exc
 
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -94,3 +94,17 @@
 def test_undecodable_message_is_an_error(fields):
     with pytest.raises(codec.CodecError):
         link_codec.decode(cbor2.dumps(fields))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x81" * 50_000 + b"\x80",
+        cbor2.dumps(["want", float("inf")]),
+        cbor2.dumps(["domain", {"s1": [float("inf"), *[0] * 6]}]),
+        cbor2.dumps(["position", 1, 1, 10**400, True]),
+    ],
+)
+def test_message_that_is_nested_deeply_or_has_too_large_a_number_is_an_error(data):
+    with pytest.raises(codec.CodecError):
+        link_codec.decode(data)
--- a/packages/store/bilberryridge/store/etcd_messages.py
+++ b/packages/store/bilberryridge/store/etcd_messages.py
@@ -15,6 +15,7 @@
 from typing import Any, ParamSpec, TypeVar
 
 from bilberryridge.store import store
+from bilberryridge.utilities import untrusted
 
 RANGE_PATH = "/v3/kv/range"
 TXN_PATH = "/v3/kv/txn"
@@ -227,7 +228,7 @@
 
 
 def _decode(body: bytes) -> dict[str, Any]:
-    answer = json.loads(body)
+    answer = untrusted.load_json(body)
     if not isinstance(answer, dict):
         raise AnswerError("answer is not a JSON object")
     return answer
--- a/packages/store/bilberryridge/store/vm_list.py
+++ b/packages/store/bilberryridge/store/vm_list.py
@@ -5,7 +5,6 @@
 Consul HTTP API, ``/v1/health/service``.
 """
 
-import json
 import time
 from collections.abc import Callable
 
@@ -13,7 +12,7 @@
 
 from bilberryridge.decisions import events
 from bilberryridge.store import calls, settings, timers
-from bilberryridge.utilities import metrics
+from bilberryridge.utilities import metrics, untrusted
 
 LIST_PATH = "/v1/health/service/vm"
 LEAVING_STATUS = "warning"
@@ -42,7 +41,7 @@
     try:
         entries = [
             (entry["Node"]["Node"], {check["Status"] for check in entry["Checks"]})
-            for entry in json.loads(body)
+            for entry in untrusted.load_json(body)
         ]
     except (ValueError, TypeError, LookupError) as exc:
         raise ListError(repr(exc)) from exc
--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -129,7 +129,9 @@
             fields = (*headers.without(fields, "connection"), ("Connection", "close"))
         reason = http.HTTP_STATUS_CODES.get(status, "")
         answer = h11.Response(
-            status_code=status, headers=list(fields), reason=reason.encode()
+            status_code=status,
+            headers=headers.encode(fields),
+            reason=reason.encode(),
         )
         head = self._http.send(answer) or b""
         self._is_chunked = CHUNKED in head.lower()
--- a/packages/transport/bilberryridge/transport/envelope.py
+++ b/packages/transport/bilberryridge/transport/envelope.py
@@ -68,7 +68,7 @@
         raise errors.EnvelopeError("the envelope is too long")
     try:
         fields = cbor2.loads(base64.urlsafe_b64decode(encoded))
-    except (binascii.Error, ValueError, cbor2.CBORError) as exc:
+    except (binascii.Error, ValueError, cbor2.CBORError, RecursionError) as exc:
         raise errors.EnvelopeError("the envelope can't be read") from exc
     if not isinstance(fields, list) or len(fields) != N_FIELDS:
         raise errors.EnvelopeError("the envelope has the wrong fields")
--- a/packages/transport/bilberryridge/transport/headers.py
+++ b/packages/transport/bilberryridge/transport/headers.py
@@ -48,6 +48,16 @@
 _ANSWER_SET_BY_THE_EDGE = frozenset([REQUEST_ID.lower(), TRACE_PARENT])
 
 
+def encode(fields: Fields) -> list[tuple[bytes, bytes]]:
+    """Return fields as the bytes from which they were read; values need not be ASCII.
+
+    References
+    ----------
+    RFC 9110, section 5.5, obs-text.
+    """
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in fields]
+
+
 def _named_in_connection(fields: Iterable[tuple[str, str]]) -> set[str]:
     """Names that the Connection field declares hop-by-hop."""
     named: set[str] = set()
--- a/packages/transport/bilberryridge/transport/ingress/relay_envelope.py
+++ b/packages/transport/bilberryridge/transport/ingress/relay_envelope.py
@@ -65,7 +65,7 @@
         request_id, remaining_s, version, *rest = _decode_row(text)
         origin = _origin(rest[0]) if rest else None
         return Envelope(str(request_id), float(remaining_s), int(version), origin)
-    except (TypeError, ValueError) as exc:
+    except (TypeError, ValueError, OverflowError) as exc:
         raise errors.EnvelopeError(f"unreadable envelope: {exc}") from exc
 
 
@@ -106,5 +106,5 @@
 def _decode_row(text: str) -> Any:
     try:
         return cbor2.loads(base64.urlsafe_b64decode(text))
-    except (binascii.Error, cbor2.CBORError) as exc:
+    except (binascii.Error, cbor2.CBORError, RecursionError) as exc:
         raise errors.EnvelopeError(f"unreadable envelope: {exc}") from exc
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -21,7 +21,7 @@
 from bilberryridge.core import silence
 from bilberryridge.transport import answers, headers
 from bilberryridge.transport.ingress import event_loop
-from bilberryridge.utilities import addresses
+from bilberryridge.utilities import addresses, untrusted
 
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_S = 0.4
@@ -154,7 +154,9 @@
         self._has_sent = False
         self._n_skipped_bytes = 0
         self._n_informational = 0
-        self._request = h11.Request(method=method, target=target, headers=list(fields))
+        self._request = h11.Request(
+            method=method, target=target, headers=headers.encode(fields)
+        )
         self._outgoing += self._http.send(self._request) or b""
         if body:
             self._outgoing += self._http.send(h11.Data(data=body)) or b""
@@ -371,8 +373,9 @@
     def _update_idle_limit(self, fields: headers.Fields) -> None:
         for part in headers.find(fields, "keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self.max_idle_s = min(MAX_IDLE_S, max(0.0, int(value) - IDLE_MARGIN_S))
+            stated_s = untrusted.decimal(value)
+            if name.lower() == "timeout" and stated_s is not None:
+                self.max_idle_s = min(MAX_IDLE_S, max(0.0, stated_s - IDLE_MARGIN_S))
 
     def _handle_end(self) -> None:
         if self._is_skipping:
--- a/packages/utilities/bilberryridge/utilities/addresses.py
+++ b/packages/utilities/bilberryridge/utilities/addresses.py
@@ -2,6 +2,7 @@
 
 Address = tuple[str, int]
 """Host and port."""
+MAX_PORT, MAX_PORT_DIGITS = 65_535, 5
 
 
 def split(text: str) -> Address:
@@ -10,7 +11,7 @@
     Raises
     ------
     ValueError
-        The port is not an integer.
+        The port is not one in ASCII digits.
 
     Examples
     --------
@@ -18,4 +19,7 @@
     ('10.0.0.1', 80)
     """
     host, _, port = text.rpartition(":")
+    is_decimal = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not is_decimal or int(port) > MAX_PORT:
+        raise ValueError(f"invalid port in {text!r}")
     return host, int(port)
