Answers: one to an earlier request is not taken for that of a request that runs

Cause: an answer without an id was taken as the request's own, and a second attempt has the id of the first, so on the same connection a copy of the first refusal fits it.

Change: on a connection that has carried other requests, an answer without an id ends the connection: the request may have run, and is repeated only where that is allowed. On a new connection it can be its own only. A request goes on no connection that has carried its id before. Answers that pass another daemon come from its own check; a daemon's refusals name no id and are taken as before.

--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -32,7 +32,7 @@
 class Owner(Protocol):
     """Callbacks of an attempt, implemented by its exchange."""
 
-    def is_matching_answer(self, fields: headers.Fields) -> bool:
+    def match_answer(self, fields: headers.Fields) -> upstream.Match:
         """Return whether an answer belongs to the request."""
 
     def on_server_said(self, said: events.ServerSaid) -> None:
@@ -124,9 +124,9 @@
         if self.conn is not None:
             self.conn.cancel()
 
-    def is_matching_answer(self, fields: headers.Fields) -> bool:
+    def match_answer(self, fields: headers.Fields) -> upstream.Match:
         """See `upstream.Sink`."""
-        return self._owner.is_matching_answer(fields)
+        return self._owner.match_answer(fields)
 
     def on_head(self, status: int, fields: headers.Fields) -> None:
         """See `upstream.Sink`."""
--- a/packages/transport/bilberryridge/transport/ingress/connection_pool.py
+++ b/packages/transport/bilberryridge/transport/ingress/connection_pool.py
@@ -35,10 +35,16 @@
         body: bytes,
         sink: upstream.Sink,
         needs_fresh_conn: bool = False,
+        answer_id: str = "",
     ) -> upstream.Connection:
-        """Send a request on an idle or a new connection."""
-        conn = self._take_idle(address, needs_fresh_conn) or self._open_new(address)
-        conn.send_request(method, target, fields, body, sink)
+        """Send a request on an idle or a new connection.
+
+        A second attempt has the id of the first, so that it goes on another connection:
+        an answer there is not one to the first.
+        """
+        conn = self._take_idle(address, needs_fresh_conn, answer_id)
+        conn = conn or self._open_new(address)
+        conn.send_request(method, target, fields, body, sink, answer_id)
         return conn
 
     def probe(
@@ -77,12 +83,14 @@
             conn.cancel()
 
     def _take_idle(
-        self, address: addresses.Address, needs_fresh_conn: bool
+        self, address: addresses.Address, needs_fresh_conn: bool, answer_id: str
     ) -> upstream.Connection | None:
         idle_conns = self._idle.get(address, [])
         now_s = self._loop.now_s()
-        while idle_conns:
-            conn = idle_conns.pop()
+        for conn in reversed(idle_conns[:]):
+            if conn.has_carried(answer_id):
+                continue
+            idle_conns.remove(conn)
             idle_s = now_s - conn.idle_since_s
             idle_limit_s = (
                 min(conn.max_idle_s, MAX_FRESH_IDLE_S)
--- a/packages/transport/bilberryridge/transport/ingress/dialect.py
+++ b/packages/transport/bilberryridge/transport/ingress/dialect.py
@@ -105,8 +105,8 @@
     def fields_for_peer(self, head: Head, last_event_id: str) -> headers.Fields:
         """Return the fields to send to another daemon, without the envelope."""
 
-    def is_matching_answer(self, head: Head, answer_fields: headers.Fields) -> bool:
-        """Return whether an answer belongs to this request."""
+    def answer_id(self, fields: headers.Fields) -> str:
+        """Return the id that a request and its answer have in common; empty if none."""
 
     def read_answer(self, status: int, fields: headers.Fields) -> AnswerHead:
         """Decode the head of a backend server's answer."""
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -15,6 +15,7 @@
     event_loop,
     event_stream,
     relay_envelope,
+    upstream,
 )
 from bilberryridge.utilities import addresses
 
@@ -70,6 +71,7 @@
         self._held_limit = held_limit
         self._attempt: attempt.Attempt | None = None
         self._origin: ingress.StreamOrigin | None = None
+        self._is_relaying = False
         self._last_event_id = ""
         self._is_committed = False
         self._has_passed_data = False
@@ -84,6 +86,7 @@
     def send_to_server(self, effect: effects.SendToServer) -> None:
         """Send the request to a backend server."""
         record = effect.server
+        self._is_relaying = False
         self._origin = ingress.StreamOrigin(record.service, record.version)
         fields = self._wire.fields_for_server(self.head, effect, self._last_event_id)
         self._send(
@@ -97,6 +100,7 @@
     def send_to_peer(self, effect: effects.SendToPeer) -> None:
         """Send the request to a daemon of another region."""
         self._origin = None
+        self._is_relaying = True
         envelope = relay_envelope.Envelope(
             self.request_id, effect.remaining_s, effect.table_version, effect.origin
         )
@@ -155,9 +159,14 @@
 
     # Callbacks of the attempt.
 
-    def is_matching_answer(self, fields: headers.Fields) -> bool:
+    def match_answer(self, fields: headers.Fields) -> upstream.Match:
         """See `attempt.Owner`."""
-        return self._wire.is_matching_answer(self.head, fields)
+        answer_id = self._wire.answer_id(fields)
+        if not answer_id:
+            # Daemons send no other answers, and name no id in refusals of their own.
+            return upstream.Match.OWN if self._is_relaying else upstream.Match.UNKNOWN
+        is_own = answer_id == self._wire.answer_id(self.head.fields)
+        return upstream.Match.OWN if is_own else upstream.Match.OTHER
 
     def on_server_said(self, said: events.ServerSaid) -> None:
         """See `attempt.Owner`."""
@@ -256,6 +265,7 @@
             self._body,
             source,
             needs_fresh_conn,
+            self._wire.answer_id(self.head.fields),
         )
 
     def _length_fields(self) -> headers.Fields:
--- a/packages/transport/bilberryridge/transport/ingress/tests/test_attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_attempt.py
@@ -4,7 +4,7 @@
 
 from bilberryridge.decisions.ingress import events
 from bilberryridge.transport import limits
-from bilberryridge.transport.ingress import attempt, dialect
+from bilberryridge.transport.ingress import attempt, dialect, upstream
 
 RESULT = events.AttemptResult
 EVENT = b"id: 1\ndata: a\n\n"
@@ -20,8 +20,8 @@
         self.data = b""
         self.ended = None
 
-    def is_matching_answer(self, fields):
-        return True
+    def match_answer(self, fields):
+        return upstream.Match.OWN
 
     def on_begun(self, source):
         pass
--- a/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
@@ -57,8 +57,9 @@
         self.failure = None
         self.is_complete = False
 
-    def is_matching_answer(self, fields):
-        return ("id", "other") not in [(n.lower(), v) for n, v in fields]
+    def match_answer(self, fields):
+        is_other = ("id", "other") in [(n.lower(), v) for n, v in fields]
+        return upstream.Match.OTHER if is_other else upstream.Match.OWN
 
     def on_head(self, status, fields):
         self.status = status
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -9,6 +9,7 @@
 RFC 9112, HTTP/1.1.
 """
 
+import collections
 import enum
 import errno
 import selectors
@@ -39,6 +40,8 @@
 """Answers to earlier requests that are skipped before the connection is closed."""
 MAX_SKIPPED_BYTES = 1 << 20
 """Bytes of their bodies that are skipped before the connection is closed."""
+N_CARRIED = 100
+"""Requests of a connection whose ids are remembered; a second attempt follows soon."""
 MAX_INFORMATIONAL_ANSWERS = 10
 MAX_EVENTS_PER_TURN = 100
 """Parts of an answer that are handled before other connections have their turn; one
@@ -57,6 +60,15 @@
     """More was sent than any answer can have."""
 
 
+class Match(enum.Enum):
+    """Whether an answer belongs to the request that was sent."""
+
+    OWN = "own"
+    OTHER = "other"
+    UNKNOWN = "unknown"
+    """It doesn't say; on a connection with earlier requests it may be one of theirs."""
+
+
 def _failure_of(exc: OSError) -> Failure:
     return Failure.SILENT if exc.errno == errno.ETIMEDOUT else Failure.LOST
 
@@ -64,7 +76,7 @@
 class Sink(Protocol):
     """Receives the answer to one request."""
 
-    def is_matching_answer(self, fields: headers.Fields) -> bool:
+    def match_answer(self, fields: headers.Fields) -> Match:
         """Return whether an answer with these fields belongs to the request."""
 
     def on_head(self, status: int, fields: headers.Fields) -> None:
@@ -131,6 +143,8 @@
         self._n_skipped = 0
         self._n_skipped_bytes = 0
         self._n_informational = 0
+        self._n_requests = 0
+        self._carried: collections.deque[str] = collections.deque(maxlen=N_CARRIED)
         self._is_skipping = False
         self._is_end_marked = True
         self._is_parsing_later = False
@@ -143,14 +157,35 @@
         """Report whether it connects; it is idle then."""
         self._on_probed = on_ended
 
+    def has_carried(self, answer_id: str) -> bool:
+        """Return whether an earlier request here had an id; see `send_request`."""
+        return bool(answer_id) and answer_id in self._carried
+
     def send_request(
-        self, method: str, target: str, fields: headers.Fields, body: bytes, sink: Sink
+        self,
+        method: str,
+        target: str,
+        fields: headers.Fields,
+        body: bytes,
+        sink: Sink,
+        answer_id: str = "",
     ) -> None:
         """Send a request; its answer goes to the sink.
 
         An immediate failure is reported after this call has returned.
+
+        Parameters
+        ----------
+        method, target : str
+        fields : headers.Fields
+        body : bytes
+        sink : Sink
+        answer_id : str
+            Id that identifies its answer; empty if it has none.
         """
         self._sink = sink
+        self._n_requests += 1
+        self._carried.append(answer_id)
         self._has_sent = False
         self._n_skipped_bytes = 0
         self._n_informational = 0
@@ -358,7 +393,11 @@
             for name, value in event.headers.raw_items()
         )
         assert self._sink is not None
-        self._is_skipping = not self._sink.is_matching_answer(fields)
+        match = self._sink.match_answer(fields)
+        if match is Match.UNKNOWN and self._n_requests > 1:
+            self._fail(Failure.SPOILED, "an answer to an unknown request")
+            return
+        self._is_skipping = match is Match.OTHER
         if self._is_skipping:
             self._n_skipped += 1
             if self._n_skipped > MAX_SKIPPED_ANSWERS:
