Take-ups: a single version is concluded only once the store has confirmed it

Cause: a daemon that knows one version of a service takes every unknown stream for one of that version. That it hasn't heard of another was taken for 'there is none', while its contact with the store counted as good: for seconds after the last answer, or after it stood still, until the calls that it had open fail.

Change: such a request waits until the store has answered a call that began after it arrived, with all changes until then (a watch that ends at once, 5 ms); one call serves all that wait. Without an answer within 0.4 s, or with the store away, it is refused as before. What is known from a record of the stream needs no call.

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -100,6 +100,7 @@
             self._send_peer_message,
             self._store_report,
             self._store_streams,
+            self._check_store,
             counters,
         )
         self._links = links.Links(
@@ -221,6 +222,9 @@
     def _store_streams(self, streams: tuple[stream_origins.StreamRecord, ...]) -> None:
         self._following.store_streams(streams)
 
+    def _check_store(self) -> None:
+        self._following.check()
+
     # Time and signals
 
     def _tick(self) -> None:
--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -148,6 +148,12 @@
         """Write streams that began here to the store."""
         self._streams.add(streams)
 
+    def check(self) -> None:
+        """Ask the store for all changes until now."""
+        self._follower.check(
+            lambda is_confirmed: self._post(events.StoreChecked(is_confirmed))
+        )
+
     def on_link_up(self, entry: ingress.EntryVm) -> None:
         """Tell a newly linked daemon what a restored store has lost."""
         self._send_overrides(entry.name)
--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -165,6 +165,11 @@
     streams: tuple[stream_origins.StreamRecord, ...]
 
 
+@attrs.frozen
+class CheckStore:
+    """Ask the store for all changes until now; `events.StoreChecked` answers."""
+
+
 @attrs.frozen
 class LogTakeUp:
     """Log that a request takes up a stream whose origin is known."""
@@ -194,6 +199,7 @@
     | SendPeerMessage
     | StoreReport
     | StoreStreams
+    | CheckStore
     | LogTakeUp
     | LogStateChange
 )
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -75,6 +75,19 @@
     is_current: bool
 
 
+@attrs.frozen
+class StoreChecked:
+    """The store has answered a check that began after it was asked for.
+
+    Parameters
+    ----------
+    is_confirmed : bool
+        Whether all changes until then are known here.
+    """
+
+    is_confirmed: bool
+
+
 @attrs.frozen
 class RequestArrived:
     """A complete request was read."""
@@ -292,6 +305,7 @@
     | CrashReportsRead
     | StreamsRead
     | StoreContact
+    | StoreChecked
     | RequestArrived
     | CallerGone
     | ServerSaid
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -91,6 +91,7 @@
     events.CrashReportsRead: crash_handlers.on_stored_reports,
     events.StreamsRead: take_ups.on_streams,
     events.StoreContact: take_ups.on_store_contact,
+    events.StoreChecked: request_handlers.on_store_checked,
     events.RequestArrived: request_handlers.on_request_arrived,
     events.CallerGone: request_handlers.on_caller_gone,
     events.ServerSaid: server_word_handlers.on_server_said,
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -70,7 +70,21 @@
     st: state.State, now_s: float, event: events.RequestArrived
 ) -> None:
     """Accept a request and place it, or refuse it."""
-    req = event.req
+    _on_arrived(st, now_s, event.req, is_store_confirmed=False)
+
+
+def on_store_checked(st: state.State, now_s: float, event: events.StoreChecked) -> None:
+    """Go on with the requests that waited for what the store knows."""
+    for req in take_ups.take_checked(st):
+        if event.is_confirmed:
+            _on_arrived(st, now_s, req, is_store_confirmed=True)
+        else:
+            _refuse_take_up(st, req)
+
+
+def _on_arrived(
+    st: state.State, now_s: float, req: ingress.Request, is_store_confirmed: bool
+) -> None:
     if st.stopping_s is not None and _is_refused_at_stop(req, now_s - st.stopping_s):
         log_fields: dict[str, Any] = {"stopping_for_s": round(now_s - st.stopping_s, 3)}
         retry_after_s = None if req.is_relayed else STOPPING_RETRY_AFTER_S
@@ -96,13 +110,16 @@
     if req.origin is None and take_ups.is_take_up(req, route):
         found = take_ups.find_origin(st, req, route)
         if found is None:
-            _refuse_take_up(st, req, route)
+            _refuse_take_up(st, req)
+            return
+        if found[1] is take_ups.Source.SINGLE_VERSION and not is_store_confirmed:
+            take_ups.await_store(st, req, now_s)
             return
         req = attrs.evolve(req, origin=found[0])
         st.emit(effects.LogTakeUp(req.id, take_ups.log_fields(req, found[1])))
     service = service_choice.choose(st, st.table, route, req)
     if service is None:
-        _refuse_take_up(st, req, route)
+        _refuse_take_up(st, req)
         return
     waited_s = _waited_s(st, route, req)
     caller_timeout_s = min(req.caller_timeout_s, route.timeout_s)
@@ -122,6 +139,7 @@
 
 def on_caller_gone(st: state.State, now_s: float, event: events.CallerGone) -> None:
     """Cancel the request of a caller that left, or detach it if it is unsafe."""
+    st.waiting_take_ups.pop(event.request_id, None)
     item = st.open_requests.get(event.request_id)
     if item is None:
         return
@@ -181,6 +199,8 @@
 
 def on_tick(st: state.State, now_s: float) -> None:
     """End requests whose deadline has passed, or which are held back now."""
+    for req in take_ups.take_overdue(st, now_s):
+        _refuse_take_up(st, req)
     for item in list(st.open_requests.values()):
         if now_s < item.deadline_s:
             _recall_held_back(st, item, now_s)
@@ -218,14 +238,12 @@
     return sum(item.req.is_relayed for item in st.open_requests.values())
 
 
-def _refuse_take_up(
-    st: state.State, req: ingress.Request, route: ingress.Route
-) -> None:
+def _refuse_take_up(st: state.State, req: ingress.Request) -> None:
     """Refuse to continue a stream without knowing what can continue it.
 
     Without Retry-After: other daemons know no more, and the caller can start anew.
     """
-    log_fields = {"route": route.name, **take_ups.log_fields(req)}
+    log_fields = {"path": req.path, **take_ups.log_fields(req)}
     _refuse_on_arrival(st, req, outcomes.Reason.STREAM_ORIGIN_UNKNOWN, log_fields)
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -168,6 +168,23 @@
         return self.route.latency_goal_s - waited_s
 
 
+@attrs.define
+class WaitingTakeUp:
+    """A request that waits until the store has confirmed what is known of versions.
+
+    Parameters
+    ----------
+    req : Request
+    arrived_s : float
+    is_checked : bool
+        Whether the check that is open began after it arrived.
+    """
+
+    req: ingress.Request
+    arrived_s: float
+    is_checked: bool = False
+
+
 @attrs.define
 class LostServer:
     """A server whose connections have just ended.
@@ -216,6 +233,8 @@
         self.streams = stream_origins.StreamOrigins(cfg.local_entry.name)
         self.streams_saved_s = float("-inf")
         self.is_store_current = True
+        self.waiting_take_ups: dict[str, WaitingTakeUp] = {}
+        self.is_store_being_checked = False
         self.members = members.Members(cfg.local_entry)
         self.regions = regions.Regions()
         self.budget = retry_budget.RetryBudget(
--- a/packages/decisions/bilberryridge/decisions/ingress/take_ups.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/take_ups.py
@@ -3,7 +3,9 @@
 What is known of a stream comes from this daemon itself, from the other daemons of the
 region, which are told of each within a tenth of a second, and from the store, which is
 told while a service has several software versions. It outlives all daemons there. While
-a service has a single version, all of its streams began at that one.
+a service has a single version, all of its streams began at that one. A daemon that was
+stopped or cut off doesn't know that it hasn't heard of another version, so that it asks
+the store before it concludes that.
 """
 
 import enum
@@ -24,6 +26,8 @@
 MAX_SAVES_PER_S = 100.0
 """Maximum rate of such writes by all daemons together, of 400 that a small store
 takes."""
+MAX_CHECK_S = 0.4
+"""Longest time that a request waits for the store's answer, which takes 5 ms."""
 MAX_LOGGED_ID_CHARS = 80
 
 
@@ -53,6 +57,40 @@
     return (origins.pop(), Source.SINGLE_VERSION) if len(origins) == 1 else None
 
 
+def await_store(st: state.State, req: ingress.Request, now_s: float) -> None:
+    """Let a request wait until the store has told all versions until now."""
+    st.waiting_take_ups[req.id] = state.WaitingTakeUp(req, now_s)
+    _check_store(st)
+
+
+def take_checked(st: state.State) -> list[ingress.Request]:
+    """Return the requests that a check of the store was for; they wait no longer."""
+    st.is_store_being_checked = False
+    checked = [each.req for each in st.waiting_take_ups.values() if each.is_checked]
+    for req in checked:
+        del st.waiting_take_ups[req.id]
+    return checked
+
+
+def take_overdue(st: state.State, now_s: float) -> list[ingress.Request]:
+    """Return the requests that have waited too long; they wait no longer."""
+    _check_store(st)
+    waiting = st.waiting_take_ups.values()
+    overdue = [e.req for e in waiting if now_s - e.arrived_s >= MAX_CHECK_S]
+    for req in overdue:
+        del st.waiting_take_ups[req.id]
+    return overdue
+
+
+def _check_store(st: state.State) -> None:
+    if st.is_store_being_checked or not st.waiting_take_ups:
+        return
+    st.is_store_being_checked = True
+    for waiting in st.waiting_take_ups.values():
+        waiting.is_checked = True
+    st.emit(effects.CheckStore())
+
+
 def record_origin(
     st: state.State,
     item: state.OpenRequest,
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_take_ups.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_take_ups.py
@@ -48,7 +48,57 @@
         taken_up_id=taken_up_id,
         **changes,
     )
-    return daemon.handle(events.RequestArrived(req))[-1]
+    return arrive_checked(daemon, req)
+
+
+def arrive_checked(daemon, req):
+    """Let a request arrive, and the store confirm what is known, if it is asked."""
+    effect = daemon.handle(events.RequestArrived(req))[-1]
+    if isinstance(effect, effects.CheckStore):
+        effect = daemon.handle(events.StoreChecked(is_confirmed=True))[-1]
+    return effect
+
+
+def take_up_waiting(daemon, request_id):
+    """Take up an unknown stream where one version is known; it waits for the store."""
+    req = deployment.request(
+        request_id,
+        "digest",
+        prompt=deployment.prompt(),
+        last_event_id="3",
+        taken_up_id="unknown",
+    )
+    return daemon.handle(events.RequestArrived(req))
+
+
+def test_single_version_is_concluded_only_when_the_store_has_confirmed_it():
+    daemon = make_daemon((server("a", OLD),))
+    assert take_up_waiting(daemon, "1") == [effects.CheckStore()]
+    assert take_up_waiting(daemon, "2") == []
+    sent = daemon.handle(events.StoreChecked(is_confirmed=True))[-1]
+    assert sent.request_id == "1"
+    assert effects.CheckStore() in daemon.tick(0.05)
+    daemon.handle(events.ServersRead((*SERVERS,)))
+    [refused] = daemon.handle(events.StoreChecked(is_confirmed=True))
+    assert (refused.request_id, reason_of(refused)) == ("2", UNKNOWN)
+
+
+def test_take_up_is_refused_at_once_where_the_store_confirms_nothing():
+    daemon = make_daemon((server("a", OLD),))
+    take_up_waiting(daemon, "1")
+    [refused] = daemon.handle(events.StoreChecked(is_confirmed=False))
+    assert reason_of(refused) is UNKNOWN
+    take_up_waiting(daemon, "2")
+    refused = [e for e in daemon.tick(take_ups.MAX_CHECK_S) if reason_of(e) is UNKNOWN]
+    assert [e.request_id for e in refused] == ["2"]
+    assert daemon.handle(events.StoreChecked(is_confirmed=True)) == []
+
+
+def test_take_up_whose_caller_leaves_waits_no_longer():
+    daemon = make_daemon((server("a", OLD),))
+    take_up_waiting(daemon, "1")
+    daemon.handle(events.CallerGone("1"))
+    assert daemon.handle(events.StoreChecked(is_confirmed=True)) == []
 
 
 def reason_of(effect):
@@ -180,7 +230,7 @@
         n_received_events=n_events,
         caller_timeout_s=2.0,
     )
-    sent = daemon.handle(events.RequestArrived(req))[-1]
+    sent = arrive_checked(daemon, req)
     assert isinstance(sent, effects.SendToServer) == is_sent
 
 
@@ -198,7 +248,7 @@
         n_received_events=1_000,
         caller_timeout_s=fraction * expected_s,
     )
-    sent = daemon.handle(events.RequestArrived(req))[-1]
+    sent = arrive_checked(daemon, req)
     assert isinstance(sent, effects.SendToServer) == is_sent
     new = attrs.evolve(req, id="2", last_event_id="", n_received_events=0)
     assert isinstance(daemon.handle(events.RequestArrived(new))[-1], effects.Refuse)
--- a/packages/standins/bilberryridge/standins/kv_model.py
+++ b/packages/standins/bilberryridge/standins/kv_model.py
@@ -46,6 +46,8 @@
     ----------
     refused : set of str
         Names of daemons whose calls are refused.
+    silent : set of str
+        Names of daemons whose watches get no answer.
     is_down : bool
         Whether all calls are refused.
     n_answers_to_lose : int
@@ -56,6 +58,7 @@
 
     def __init__(self) -> None:
         self.refused: set[str] = set()
+        self.silent: set[str] = set()
         self.is_down = False
         self.n_answers_to_lose = 0
         self.era = 1
--- a/packages/store/bilberryridge/store/follower.py
+++ b/packages/store/bilberryridge/store/follower.py
@@ -15,6 +15,8 @@
 """Long-poll time-out of one watch: long, because each call to the store is charged. A
 silent connection is noticed after this time and the margin of the call, within the 5 s
 in which a daemon must be in contact with the store again."""
+CHECK_WAIT_S = 0.001
+"""Long-poll time-out of a check: the shortest, as it is answered at once."""
 COALESCING_PAUSE_S = 0.2
 """Pause after a watch that returned changes, so that changes made close together take
 one call. The strictest bound on the delay, for leaving servers and configuration, is
@@ -161,6 +163,29 @@
         """Read all keys, then follow their changes."""
         self._request_changes(self._n_restarts)
 
+    def check(self, on_checked: Callable[[bool], None]) -> None:
+        """Ask the store for all changes until now, beside the open watch.
+
+        Parameters
+        ----------
+        on_checked : Callable
+            Called once, with whether the mirror has them.
+        """
+        n_restarts = self._n_restarts
+
+        def on_answer(answer: mirror.Changes | CallFailure) -> None:
+            is_restarted = n_restarts != self._n_restarts
+            if isinstance(answer, CallFailure) or is_restarted:
+                on_checked(False)
+            else:
+                self._apply(answer)
+                on_checked(True)
+
+        if self._is_complete and not self.health.is_unavailable:
+            self._reader.watch(self._mirror.revision, CHECK_WAIT_S, on_answer)
+        else:
+            self._clock.after(0.0, lambda: on_checked(False))
+
     @property
     def age_s(self) -> float:
         """Time since the store's last answer; infinite while it is unavailable."""
@@ -270,15 +295,18 @@
         if isinstance(answer, CallFailure):
             self._on_failure(answer)
             return
-        self._record_answer()
-        era, revision = self._mirror.era, self._mirror.revision
-        self._mirror.apply(answer)
-        self._on_advanced(era, revision)
+        self._apply(answer)
         if answer.updates:
             self._schedule(COALESCING_PAUSE_S)
         else:
             self._request_changes(self._n_restarts)
 
+    def _apply(self, changes: mirror.Changes) -> None:
+        self._record_answer()
+        era, revision = self._mirror.era, self._mirror.revision
+        self._mirror.apply(changes)
+        self._on_advanced(era, revision)
+
     def _on_failure(self, failure: CallFailure) -> None:
         if failure.is_history_lost:
             LOGGER.info("the store's history is lost", extra={"detail": failure.detail})
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -58,6 +58,8 @@
         Sends a message to another daemon.
     store_report, store_streams : Callable
         Write to the store what outlives this daemon.
+    check_store : Callable
+        Asks the store for all changes until now; the answer is posted.
     counters : Metrics
     """
 
@@ -70,6 +72,7 @@
         send_peer_message: SendPeerMessage,
         store_report: StoreReport,
         store_streams: StoreStreams,
+        check_store: Callable[[], None],
         counters: metrics.Metrics,
     ):
         self.node = ingress_node
@@ -99,6 +102,7 @@
             effects.SendPeerMessage: self._send_peer_message,
             effects.StoreReport: lambda effect: self._store_report(effect.report),
             effects.StoreStreams: lambda effect: store_streams(effect.streams),
+            effects.CheckStore: lambda effect: check_store(),
             effects.LogTakeUp: self._log_take_up,
             effects.LogStateChange: self._log_state_change,
         }
