Brittle servers: single answers without the word don't end it

What callers saw: nothing yet; the same cause as for limits, found by looking for it.

Cause: one answer that doesn't say 'brittle', a second after the last that did, ended it for its daemon, and the next load report for all; a server that is brittle then gets as many requests as before.

Change: four such answers in a row to one daemon end it. A daemon that tells that it has ended has had them. Answers to requests sent before the last word count as little as before.

--- a/packages/decisions/bilberryridge/decisions/ingress/server_room.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_room.py
@@ -19,6 +19,9 @@
 MIN_FACTOR = 0.2
 RECOVERED_PER_S = 0.1
 """Part of the room that is regained each second without a turned-away request."""
+N_UNNAMED = 4
+"""Answers in a row to one daemon without a number that end it: single ones may be those
+of a fault, or of what stands between."""
 HOLD_S = 1.0
 """Time after which an answer that names no number ends it: answers on several
 connections overtake each other."""
@@ -58,6 +61,7 @@
         self.answered_per_s: float | None = None
         self.n_unreported = 0
         self._named_s = -math.inf
+        self._n_unnamed = 0
         self._turned_away_s = -math.inf
         self._factor = 1.0
 
@@ -96,21 +100,25 @@
         if per_s > MAX_BRITTLE_PER_S:
             return False
         self._named_s = now_s
+        self._n_unnamed = 0
         is_new = per_s != self.brittle_per_s
         self.brittle_per_s = per_s
         return is_new
 
-    def record_unnamed(self, sent_s: float, now_s: float) -> bool:
-        """Record an answer that doesn't say so; return whether that ends it.
+    def record_unnamed(self, sent_s: float, now_s: float, n_answers: int = 1) -> bool:
+        """Record answers that don't say so; return whether they end it.
 
         Parameters
         ----------
         sent_s : float
-            When its request was sent.
+            When the request of the earliest was sent.
         now_s : float
+        n_answers : int
         """
-        is_later = sent_s >= self._named_s and now_s >= self._named_s + HOLD_S
-        if self.brittle_per_s is None or not is_later:
+        if self.brittle_per_s is None or sent_s < self._named_s:
+            return False
+        self._n_unnamed += n_answers
+        if self._n_unnamed < N_UNNAMED or now_s < self._named_s + HOLD_S:
             return False
         self.brittle_per_s = None
         return True
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -10,6 +10,7 @@
     load_messages,
     sending,
     server_availability,
+    server_room,
     server_table,
     state,
 )
@@ -51,7 +52,9 @@
         _learn_limit(st, server, share, before, vm, now_s)
         if share.brittle_per_s != before.brittle_per_s:
             told_by = {"told_by": vm}
-            _change_brittle(st, server, share.brittle_per_s, now_s, now_s, told_by)
+            # The other daemon has had several such answers when it tells of none.
+            n = server_room.N_UNNAMED
+            _change_brittle(st, server, share.brittle_per_s, now_s, now_s, told_by, n)
         if share.n_turned_away > 0:
             server.room.record_turned_away(share.n_turned_away, now_s)
         if share.n_limited_sends > 0:
@@ -192,9 +195,10 @@
     sent_s: float,
     now_s: float,
     log_fields: dict[str, Any],
+    n_answers: int = 1,
 ) -> None:
     if brittle_per_s is None:
-        is_changed = server.room.record_unnamed(sent_s, now_s)
+        is_changed = server.room.record_unnamed(sent_s, now_s, n_answers)
         change = f"{server.record.id} is no longer brittle"
     else:
         is_changed = server.room.record_named(brittle_per_s, now_s)
