Crashes: the log tells why a lost server is not counted as crashed

A line names the server, the reason and the requests. Test: the line of a path that another daemon reaches.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -33,6 +33,8 @@
 """Time after a reported crash from which on an answer of that start of the server shows
 that it had not crashed; an earlier one may have been on its way."""
 FIRST_ERROR_STATUS = 300
+MAX_LOGGED = 8
+"""Contents that a log line names."""
 
 
 def on_attempt_ended(
@@ -168,7 +170,7 @@
     if is_reach_unknown and now_s - first_s < reach_known_s:
         return
     del st.lost_servers[: len(at_once)]
-    at_once = [lost for lost in at_once if not _is_only_path_lost(st, lost)]
+    at_once = _without_uncounted(st, at_once, _is_only_path_lost, "path lost")
     reports = [
         crash_reports.CrashReport(
             lost.server, st.cfg.local_entry.name, tuple(lost.prompts)
@@ -199,7 +201,7 @@
 
     A failure that servers share has no request as its cause, unless several had it.
     """
-    crashed = [lost for lost in at_once if not _is_alive(st, lost)]
+    crashed = _without_uncounted(st, at_once, _is_alive, "goes on")
     n_servers = collections.Counter(
         content_id for lost in crashed for content_id in lost.contents
     )
@@ -207,6 +209,8 @@
     for lost in crashed:
         contents = sorted(c for c in lost.contents if n_servers[c] >= n_min)
         if not contents:
+            if lost.contents:
+                _log_uncounted(st, lost, "shared failure")
             continue
         report = crash_reports.CrashedRequests(lost.server, tuple(contents))
         change = f"{lost.server} ended under requests"
@@ -232,6 +236,28 @@
     return has_open_answer or server.heard_s > lost.at_s
 
 
+def _without_uncounted(
+    st: state.State,
+    lost_servers: list[state.LostServer],
+    is_uncounted: Callable[[state.State, state.LostServer], bool],
+    reason: str,
+) -> list[state.LostServer]:
+    """Return the servers whose loss counts as a crash; log the others."""
+    counted = []
+    for lost in lost_servers:
+        if is_uncounted(st, lost):
+            _log_uncounted(st, lost, reason)
+        else:
+            counted.append(lost)
+    return counted
+
+
+def _log_uncounted(st: state.State, lost: state.LostServer, reason: str) -> None:
+    log_fields = {"reason": reason, "contents": sorted(lost.contents)[:MAX_LOGGED]}
+    change = f"{lost.server} is not counted as crashed"
+    st.emit(effects.LogStateChange("crash", change, log_fields))
+
+
 def _find_server(
     st: state.State, lost: state.LostServer
 ) -> server_table.ServerState | None:
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_path_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_path_handlers.py
@@ -328,6 +328,18 @@
     daemon.handle(events.PeerSaid(vm, load_messages.DaemonLoads({name: share})))
 
 
+def test_log_tells_why_a_lost_server_is_not_counted_as_crashed():
+    daemon = make_daemon("abcd")
+    name = lose_connection(daemon, "1")
+    tell_reached(daemon, "vm-3", name)
+    [line] = [
+        effect
+        for effect in daemon.tick(0.2)
+        if isinstance(effect, effects.LogStateChange) and effect.subject == "crash"
+    ]
+    assert line.log_fields == {"reason": "path lost", "contents": ["c1"]}
+
+
 def test_lost_path_is_not_taken_for_a_crash_under_a_request():
     daemon = make_daemon("abcd")
     for n in range(3):
