Own interface: odd documents and answers are problems, not errors of the daemon

The same cause as odd entries of the prepared platform, found by looking for it: a document of the store that is nested deeply, or no object, raised RecursionError or AttributeError where DocumentError was foreseen, and so did a server's answer where its content is looked for. Two tests, of which five cases failed before (three kinds of errors). Documents that operators check were foreseen already (configuration.located).

--- a/packages/configuration/bilberryridge/configuration/tests/test_documents.py
+++ b/packages/configuration/bilberryridge/configuration/tests/test_documents.py
@@ -194,3 +194,11 @@
 def test_defaults_are_not_written():
     weights = core_documents.Weights(cost=3.0)
     assert documents.to_json(weights) == b'{"cost":3.0}'
+
+
+@pytest.mark.parametrize("kind", ["domain", "service"])
+@pytest.mark.parametrize("data", [b"[" * 50_000 + b"]" * 50_000, b"9" * 400])
+def test_document_that_is_nested_deeply_or_no_object_is_a_problem(kind, data):
+    assert documents.from_json(kind, data).failure()
+    with pytest.raises(encoding.DocumentError):
+        encoding.from_json(kind, data)
--- a/packages/core/bilberryridge/core/encoding.py
+++ b/packages/core/bilberryridge/core/encoding.py
@@ -42,5 +42,12 @@
         raise DocumentError(f"unknown kind {kind!r}")
     try:
         return _CONVERTER.structure(json.loads(value), documents.KINDS[kind])
-    except (ValueError, TypeError, cattrs.errors.BaseValidationError) as exc:
+    except (
+        ValueError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+        cattrs.errors.BaseValidationError,
+    ) as exc:
         raise DocumentError(f"invalid {kind} document: {exc}") from exc
--- a/packages/transport/bilberryridge/transport/completeness.py
+++ b/packages/transport/bilberryridge/transport/completeness.py
@@ -5,7 +5,7 @@
 bilberryridge.transport.attempt : feeds answers as they are received.
 """
 
-import json
+from bilberryridge.utilities import untrusted
 
 END_MARKER = b"data: [DONE]"
 MAX_EVENT_BYTES = 1 << 20
@@ -109,7 +109,7 @@
 
 def _choices_of(text: bytes | bytearray) -> list[dict]:
     try:
-        answer = json.loads(text)
+        answer = untrusted.load_json(text)
     except ValueError:
         return []
     choices = answer.get("choices") if isinstance(answer, dict) else None
@@ -163,7 +163,7 @@
 def n_tokens(body: bytes | bytearray) -> int:
     """Token count stated in a model's answer; 0 if there is none."""
     try:
-        n = json.loads(body)["usage"]["completion_tokens"]
+        n = untrusted.load_json(body)["usage"]["completion_tokens"]
     except (ValueError, KeyError, TypeError):
         return 0
     return n if isinstance(n, int) else 0
--- a/packages/transport/bilberryridge/transport/tests/test_completeness.py
+++ b/packages/transport/bilberryridge/transport/tests/test_completeness.py
@@ -44,3 +44,9 @@
         assert stream.feed(part) == b""
     # 65,536 pieces; copying what is held for each would move 32 GiB.
     assert time.process_time() - began_s < 2.0
+
+
+def test_answer_that_is_nested_deeply_has_no_content():
+    deep = b"[" * 50_000 + b"]" * 50_000
+    assert not completeness.has_delta_content(deep)
+    assert completeness.n_tokens(b'{"usage": %b}' % deep) == 0
