Answers: requests without an id go on connections of their own

Nothing tells its answer from an earlier one there, so it needs a connection of its own. Requests that pass another daemon are not concerned.

--- a/packages/transport/bilberryridge/transport/ingress/connection_pool.py
+++ b/packages/transport/bilberryridge/transport/ingress/connection_pool.py
@@ -36,13 +36,16 @@
         sink: upstream.Sink,
         needs_fresh_conn: bool = False,
         answer_id: str = "",
+        needs_new_conn: bool = False,
     ) -> upstream.Connection:
         """Send a request on an idle or a new connection.
 
         A second attempt has the id of the first, so that it goes on another connection:
         an answer there is not one to the first.
         """
-        conn = self._take_idle(address, needs_fresh_conn, answer_id)
+        conn = None
+        if not needs_new_conn:
+            conn = self._take_idle(address, needs_fresh_conn, answer_id)
         conn = conn or self._open_new(address)
         conn.send_request(method, target, fields, body, sink, answer_id)
         return conn
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -257,6 +257,7 @@
         )
         self._attempt = source
         fields = (*fields, *self._length_fields())
+        answer_id = self._wire.answer_id(self.head.fields)
         source.conn = self._pool.send_request(
             address,
             self.head.method,
@@ -265,7 +266,9 @@
             self._body,
             source,
             needs_fresh_conn,
-            self._wire.answer_id(self.head.fields),
+            answer_id,
+            # On another connection, nothing would tell its answer from earlier ones.
+            needs_new_conn=not (answer_id or self._is_relaying),
         )
 
     def _length_fields(self) -> headers.Fields:
