--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -1,6 +1,5 @@
 """State of the backend servers of the region as seen by one daemon."""
 
-import collections
 import math
 from typing import Any
 
@@ -18,6 +17,7 @@
     server_limit,
     server_path,
     server_room,
+    server_words,
     warm_up,
 )
 
@@ -42,8 +42,6 @@
 may be the cause."""
 MAX_RANKINGS = 200
 """Maximum number of cached server rankings, some 20 kB each with 200 servers."""
-MAX_REMEMBERED = 1_000
-"""Starts of servers that are no longer listed whose words are remembered."""
 CACHE_FRACTION = 0.7
 """Fraction of an engine's memory that is assumed to be available for cached prompt
 parts."""
@@ -285,15 +283,6 @@
         return vm not in self.work.unreachable_vms
 
 
-@attrs.frozen
-class _Words:
-    """What one start of a server has said of itself; see `ServerState`."""
-
-    availability: server_availability.Availability
-    limit: server_limit.ServerLimit
-    room: server_room.ServerRoom
-
-
 class ServerTable:
     """The registered servers of a region and their state.
 
@@ -315,9 +304,7 @@
         self.by_id: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
         self._ranks: dict[tuple[str, str], dict[str, int]] = {}
-        self._words: collections.OrderedDict[tuple[str, int], _Words] = (
-            collections.OrderedDict()
-        )
+        self._words = server_words.RememberedWords()
 
     def update(
         self,
@@ -505,17 +492,11 @@
         return []
 
     def _remember_words(self, server: ServerState) -> None:
-        """Keep what a start of a server said, as its entry may lapse and return."""
-        record = server.record
-        if record.start_time_ms > 0:
-            words = _Words(server.availability, server.limit, server.room)
-            self._words[record.id, record.start_time_ms] = words
-            if len(self._words) > MAX_REMEMBERED:
-                self._words.popitem(last=False)
+        words = server_words.Words(server.availability, server.limit, server.room)
+        self._words.add(server.record, words)
 
     def _recall_words(self, server: ServerState) -> None:
-        start = (server.record.id, server.record.start_time_ms)
-        words = self._words.pop(start, None)
+        words = self._words.take(server.record)
         if words is not None:
             server.availability = words.availability
             server.limit = words.limit
