Review case 4: brittle replicas fall over before several daemons

Seen: 8 daemons send so many requests at once to replicas with 6 slots that say Server-Brittle: 2 that these turn away more than 2 in a second and fall over.

--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -318,6 +318,8 @@
     answer : coroutine function
         Answers a request: `(replica, request_line, fields, body, writer)`; returns
         whether the channel lives on.
+    more_rows : tuple of str
+        Header lines that all its answers have besides.
     runs : list of (float, str)
         Time and `Attempt-Id` of each request that it began to run.
     """
@@ -331,6 +333,7 @@
         self.runs = []
         self.state = "ready"
         self.extra = {}
+        self.more_rows = ()
         self._writers = set()
         self._server = None
         self._beats = None
@@ -427,6 +430,7 @@
             f"Attempt-Id: {fields.get('attempt-id', '')}",
             f"Instance-Id: {self.id}",
             f"Server-Load: {self.n_running},0,{self.slots}",
+            *self.more_rows,
             *rows,
         ]
         if length is None:
