Logs: why a request is sent again or not, and whether the budget was charged

Sends after the first name how the attempt before ended and the retries charged; refusals name the obstacle. The decision moves to a module of its own, unchanged.

--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -12,6 +12,7 @@
     holding_back,
     path_handlers,
     placement,
+    retrying,
     sending,
     server_table,
     server_word_handlers,
@@ -20,8 +21,6 @@
     take_ups,
 )
 
-MAX_ATTEMPTS = 8
-"""Maximum attempts of one request, including those that reached no server."""
 FAILURE_BUDGET_FRACTION = 0.4
 """Fraction of the retry budget available after error statuses: most of these are caused
 by the request and recur, whereas a retry recovers lost answers and streams."""
@@ -32,8 +31,6 @@
 """Retry-After then; about a third of them have ended."""
 PEER_ASIDE_S = 1.0
 """Time for which nothing is sent to another daemon that couldn't pass a request on."""
-MIN_REMAINING_S = 0.03
-"""Minimum time to the deadline for another attempt."""
 NO_TABLE_RETRY_AFTER_S = 1.0
 """Retry-After while there is no routing table; peers are asked for it every 0.3 s."""
 ACCEPT_AFTER_STOP_S = 3.0
@@ -52,9 +49,6 @@
     events.AttemptResult.SPOILED: 1.0,
 }
 
-MAX_LOST_BEGINNINGS = 2
-"""Servers lost as they began to answer a request after which it is not sent again."""
-
 _NOT_RUN_REASONS = frozenset(
     [
         outcomes.Reason.NO_CAPACITY,
@@ -176,6 +170,7 @@
     item.is_committed = item.is_committed or event.is_committed
     attempt, item.attempt = item.attempt, None
     assert attempt is not None
+    item.last_result = event.result.value
     _record_relay_ended(st, attempt)
     if event.is_committed:
         take_ups.record_origin(st, item, attempt, None)
@@ -357,10 +352,10 @@
     st: state.State, item: state.OpenRequest, event: events.AttemptEnded, now_s: float
 ) -> None:
     is_failure = event.status >= 500 and item.route.is_repeatable
-    if is_failure and not item.is_committed and _can_retry(st, item, now_s):
+    if is_failure and not item.is_committed and retrying.may_retry(st, item, now_s):
         choice = st.choose(st, item, now_s)
         is_placed = not isinstance(choice, placement.NoCapacity)
-        if is_placed and _take_retry_budget(st, item, now_s, FAILURE_BUDGET_FRACTION):
+        if is_placed and retrying.take_budget(st, item, now_s, FAILURE_BUDGET_FRACTION):
             item.may_have_run = True
             _send(st, item, choice, now_s)
             return
@@ -387,7 +382,7 @@
             st.peers_aside_until_s[attempt.peer] = now_s + PEER_ASIDE_S
         _place_again(st, item, now_s, is_counted=event.is_misdirected)
         return
-    if _reserve_retry(st, item, now_s):
+    if retrying.reserve(st, item, now_s):
         _place(st, item, now_s)
         return
     retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
@@ -401,7 +396,7 @@
     can_continue = not item.is_committed or (
         event.is_position_known and item.origin is not None
     )
-    if item.route.is_repeatable and can_continue and _reserve_retry(st, item, now_s):
+    if item.route.is_repeatable and can_continue and retrying.reserve(st, item, now_s):
         _place(st, item, now_s)
         return
     log_fields: dict[str, Any] = {"result": event.result.value}
@@ -416,40 +411,15 @@
     st: state.State, item: state.OpenRequest, now_s: float, is_counted: bool
 ) -> None:
     """Place a request again that reached no server of its service."""
-    has_time = (
-        item.deadline_s - now_s > MIN_REMAINING_S and item.n_attempts < MAX_ATTEMPTS
-    )
-    if has_time and (not is_counted or _take_retry_budget(st, item, now_s)):
+    if retrying.has_time(item, now_s) and (
+        not is_counted or retrying.take_budget(st, item, now_s)
+    ):
         _place(st, item, now_s)
         return
     retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
     _give_up(st, item, outcomes.Reason.NO_SERVER, {}, retry_after_s)
 
 
-def _reserve_retry(st: state.State, item: state.OpenRequest, now_s: float) -> bool:
-    return _can_retry(st, item, now_s) and _take_retry_budget(st, item, now_s)
-
-
-def _can_retry(st: state.State, item: state.OpenRequest, now_s: float) -> bool:
-    """Return whether attempts and time are left, regardless of the retry budget."""
-    if (
-        item.n_server_attempts >= item.route.max_attempts
-        or item.n_attempts >= MAX_ATTEMPTS
-        or item.n_lost_beginnings >= MAX_LOST_BEGINNINGS
-        or holding_back.find(st, item.req, now_s) is not None
-    ):
-        return False
-    return not item.req.is_relayed and item.deadline_s - now_s > MIN_REMAINING_S
-
-
-def _take_retry_budget(
-    st: state.State, item: state.OpenRequest, now_s: float, fraction: float = 1.0
-) -> bool:
-    return st.budget.take(
-        item.service.name, now_s, st.members.n_daemons(now_s), fraction
-    )
-
-
 def _send(
     st: state.State,
     item: state.OpenRequest,
@@ -499,6 +469,8 @@
         "n_sends": item.n_server_attempts,
         **log_fields,
     }
+    if item.obstacle:
+        log_fields["no_retry"] = item.obstacle
     st.emit(effects.Refuse(item.req.id, refusal, log_fields))
     _close_request(st, item)
 
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -67,6 +67,7 @@
         "reading": round(server.prefill.fraction(now_s), 2),
         "fault": round(server.failure_rate(now_s), 2),
         "server_version": record.version,
+        **_repeat_fields(item),
         **take_ups.log_fields(item.req),
     }
     if item.req.content_id:
@@ -92,6 +93,13 @@
     )
 
 
+def _repeat_fields(item: state.OpenRequest) -> dict[str, Any]:
+    """Return why a request is sent again, and how often the budget was asked."""
+    if not item.last_result:
+        return {}
+    return {"after": item.last_result, "n_counted": item.n_counted}
+
+
 def limit_senders(st: state.State, now_s: float) -> server_limit.Senders:
     """Return the daemons that share the rate limit of a server of this region."""
     _, n_daemons = st.members.index_in_region(now_s)
@@ -121,6 +129,7 @@
         "route": item.route.name,
         "way": "region" if choice.view else "neighbour",
         "expected_s": round(choice.expected.first_s, 3),
+        **_repeat_fields(item),
         **take_ups.log_fields(item.req),
     }
     if choice.view is not None:
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -114,6 +114,12 @@
         Whether it is sent though it is held back.
     n_lost_beginnings : int
         Attempts whose server was lost as it began to answer.
+    n_counted : int
+        Retries taken from the budget for it.
+    last_result : str
+        How its last attempt ended, for the log; empty before.
+    obstacle : str
+        Why it was not sent again when that was last decided, for the log.
     origin : StreamOrigin or None
         What alone can continue the stream; None before its first event, or if unknown.
     n_events : int
@@ -137,6 +143,9 @@
     is_detached: bool = False
     is_trial: bool = False
     n_lost_beginnings: int = 0
+    n_counted: int = 0
+    last_result: str = ""
+    obstacle: str = ""
     origin: ingress.StreamOrigin | None = None
     n_events: int = 0
     attempt: Attempt | None = None
