Retry budget: a relayed request counts as a first one only at its entry daemon

Callers saw needless repeats; servers got up to twice the ratio of them. A request that crosses to another daemon was recorded as a first attempt at both, and each took retries from its own count, so the sum of all budgets exceeded what the ratio allows. Only the entry daemon retries, so only it records.

The own interface records no relayed request; nothing to change there.

--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -189,7 +189,8 @@
     version: str,
     now_s: float,
 ) -> state.Attempt:
-    if item.n_attempts == 0:
+    if item.n_attempts == 0 and not item.req.is_relayed:
+        # The daemon that its caller is connected to has recorded it.
         st.budget.record_request(item.service.name, now_s)
     item.n_attempts += 1
     item.n_server_attempts += 1
