Retry budget: what a server of another region turned away is a repeat when sent on

Callers' requests reached servers more often than max_attempts and the budget allow. A refusal of another daemon was taken for one that no server had seen, so the request was sent on uncounted, and max_attempts didn't hold. The same rule, no more than one uncounted arrival a request, serves a server at a wrong address and a request that was not sent.

On the own interface each refusal was counted already.

--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -123,11 +123,22 @@
 
 @attrs.frozen
 class Refuse:
-    """Answer a request with a refusal."""
+    """Answer a request with a refusal.
+
+    Parameters
+    ----------
+    request_id : str
+    refusal : Refusal
+    log_fields : mapping
+    is_server_reached : bool
+        Whether the request may have reached a backend server, if only to be turned
+        away; another daemon that relayed it must know.
+    """
 
     request_id: str
     refusal: outcomes.Refusal
     log_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
+    is_server_reached: bool = False
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -217,6 +217,8 @@
         False if events were passed on and no id tells where to resume the stream.
     limit_per_s : float or None
         Rate limit that the answer names, for the log.
+    is_server_reached : bool
+        False if another daemon refused the request without asking a backend server.
     """
 
     request_id: str
@@ -238,6 +240,7 @@
     n_incomplete_bytes: int = 0
     is_position_known: bool = True
     limit_per_s: float | None = None
+    is_server_reached: bool = True
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -171,6 +171,8 @@
     attempt, item.attempt = item.attempt, None
     assert attempt is not None
     item.last_result = event.result.value
+    is_sent = event.result is not events.AttemptResult.NOT_SENT
+    item.n_arrivals += is_sent and event.is_server_reached
     _record_relay_ended(st, attempt)
     if event.is_committed:
         take_ups.record_origin(st, item, attempt, None)
@@ -186,7 +188,7 @@
         _on_not_run(st, item, attempt, event, now_s)
     elif event.result is events.AttemptResult.NOT_SENT:
         item.n_server_attempts -= 1
-        _place_again(st, item, now_s, is_counted=False)
+        _place_again(st, item, now_s)
     else:
         item.may_have_run = True
         _on_lost(st, item, event, now_s)
@@ -371,25 +373,40 @@
     event: events.AttemptEnded,
     now_s: float,
 ) -> None:
-    if event.is_misdirected or not attempt.server_id:
-        # No server of the service was reached, or another daemon refused for its
-        # region. A daemon that is stopping, has an older table or has lost its paths
-        # sends no Retry-After.
+    if attempt.peer:
+        _set_peer_aside(st, item, attempt, event, now_s)
+    if event.is_misdirected or not event.is_server_reached:
         item.n_server_attempts -= 1
-        if attempt.peer and event.retry_after_s is not None:
-            item.tried_regions.add(attempt.region)
-        elif attempt.peer:
-            st.peers_aside_until_s[attempt.peer] = now_s + PEER_ASIDE_S
-        _place_again(st, item, now_s, is_counted=event.is_misdirected)
+        _place_again(st, item, now_s)
         return
     if retrying.reserve(st, item, now_s):
         _place(st, item, now_s)
         return
-    retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
+    retry_after_s = event.retry_after_s if attempt.peer else None
+    if retry_after_s is None:
+        retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
     log_fields = {"status": event.status}
     _give_up(st, item, outcomes.Reason.NO_CAPACITY, log_fields, retry_after_s)
 
 
+def _set_peer_aside(
+    st: state.State,
+    item: state.OpenRequest,
+    attempt: state.Attempt,
+    event: events.AttemptEnded,
+    now_s: float,
+) -> None:
+    """Leave a region, or a daemon, out that refused a relayed request.
+
+    A daemon that is stopping, has an older table or has lost its paths sends no
+    Retry-After.
+    """
+    if event.retry_after_s is not None:
+        item.tried_regions.add(attempt.region)
+    else:
+        st.peers_aside_until_s[attempt.peer] = now_s + PEER_ASIDE_S
+
+
 def _on_lost(
     st: state.State, item: state.OpenRequest, event: events.AttemptEnded, now_s: float
 ) -> None:
@@ -407,13 +424,9 @@
     _give_up(st, item, outcomes.Reason.ANSWER_LOST, log_fields, None)
 
 
-def _place_again(
-    st: state.State, item: state.OpenRequest, now_s: float, is_counted: bool
-) -> None:
+def _place_again(st: state.State, item: state.OpenRequest, now_s: float) -> None:
     """Place a request again that reached no server of its service."""
-    if retrying.has_time(item, now_s) and (
-        not is_counted or retrying.take_budget(st, item, now_s)
-    ):
+    if retrying.reserve_send(st, item, now_s):
         _place(st, item, now_s)
         return
     retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
@@ -471,7 +484,8 @@
     }
     if item.obstacle:
         log_fields["no_retry"] = item.obstacle
-    st.emit(effects.Refuse(item.req.id, refusal, log_fields))
+    is_server_reached = item.n_arrivals > 0 or item.may_have_run
+    st.emit(effects.Refuse(item.req.id, refusal, log_fields, is_server_reached))
     _close_request(st, item)
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/retrying.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/retrying.py
@@ -36,8 +36,18 @@
     return obstacle is None
 
 
-def has_time(item: state.OpenRequest, now_s: float) -> bool:
-    """Return whether a request that reached no server may be placed again."""
+def reserve_send(st: state.State, item: state.OpenRequest, now_s: float) -> bool:
+    """Take what a further send needs; return whether the request may be placed.
+
+    Only what may reach a server after the request has reached one is a retry.
+    """
+    if not _has_time(item, now_s):
+        item.obstacle = Obstacle.DEADLINE.value
+        return False
+    return item.n_arrivals <= item.n_counted or take_budget(st, item, now_s)
+
+
+def _has_time(item: state.OpenRequest, now_s: float) -> bool:
     remaining_s = item.deadline_s - now_s
     return remaining_s > MIN_REMAINING_S and item.n_attempts < MAX_ATTEMPTS
 
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -104,6 +104,9 @@
         Attempts that may have reached a backend server.
     n_attempts : int
         All attempts.
+    n_arrivals : int
+        Attempts that have ended and may have reached a server, also one that turned
+        the request away.
     may_have_run : bool
         Whether a server may have run the request.
     is_committed : bool
@@ -138,6 +141,7 @@
     waited_s: float = 0.0
     n_server_attempts: int = 0
     n_attempts: int = 0
+    n_arrivals: int = 0
     may_have_run: bool = False
     is_committed: bool = False
     is_detached: bool = False
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_retrying.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_retrying.py
@@ -1,6 +1,8 @@
 """The bound of all daemons on requests that reach servers more than once."""
 
-from bilberryridge.decisions.ingress import effects
+import pytest
+
+from bilberryridge.decisions.ingress import effects, events
 from bilberryridge.decisions.ingress.tests import deployment
 
 PEER = deployment.entry("vm-2", "d2")
@@ -22,3 +24,37 @@
     [refused] = daemon.end(daemon.arrive("1", "safe"), "lost")
     assert isinstance(refused, effects.Refuse)
     assert refused.log_fields["no_retry"] == "budget"
+
+
+@pytest.mark.parametrize(
+    ("slack", "is_server_reached", "expected"),
+    [
+        (0.0, True, effects.Refuse),
+        (50.0, True, effects.SendToServer),
+        (0.0, False, effects.SendToServer),
+    ],
+)
+def test_issue_44_what_a_server_elsewhere_turned_away_is_sent_on_as_a_repeat(
+    slack, is_server_reached, expected
+):
+    daemon = make_daemon(servers=(), peers=(PEER,), retry_slack=slack)
+    daemon.handle(events.PeerSaid("vm-2", deployment.loads()))
+    sent = daemon.arrive("1", "unsafe")
+    assert isinstance(sent, effects.SendToPeer)
+    daemon.handle(events.ServersRead((deployment.server("a"),)))
+    [effect] = daemon.end(
+        sent,
+        "not run",
+        status=503,
+        retry_after_s=0.5,
+        is_server_reached=is_server_reached,
+    )
+    assert isinstance(effect, expected)
+
+
+def test_issue_44_a_daemon_tells_another_that_a_server_turned_its_request_away():
+    daemon = make_daemon()
+    assert not daemon.arrive("0", "nowhere", is_relayed=True).is_server_reached
+    sent = daemon.arrive("1", "safe", is_relayed=True)
+    [refused] = daemon.end(sent, "not run", status=503)
+    assert refused.is_server_reached
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -245,7 +245,11 @@
         result = node_events.AttemptResult.NOT_RUN
         self.handle(
             node_events.AttemptEnded(
-                *key, result, status=503, retry_after_s=retry_after_s
+                *key,
+                result,
+                status=503,
+                retry_after_s=retry_after_s,
+                is_server_reached=False,
             )
         )
 
--- a/packages/standins/bilberryridge/standins/simulation/daemons.py
+++ b/packages/standins/bilberryridge/standins/simulation/daemons.py
@@ -29,12 +29,15 @@
         Request to which a server's answer belongs; empty for a refusal.
     is_not_run : bool
     retry_after_s : float or None
+    is_server_reached : bool
+        Whether the request may have reached a server.
     """
 
     status: int
     answer_of: str = ""
     is_not_run: bool = False
     retry_after_s: float | None = None
+    is_server_reached: bool = True
 
 
 OnFinal = Callable[[FinalAnswer], None]
@@ -361,9 +364,13 @@
         if self.is_ended or item.attempt is not attempt:
             return
         if answer.is_not_run:
-            retry_after_s = answer.retry_after_s
             self._end_attempt(
-                item, attempt, "NOT_RUN", status=503, retry_after_s=retry_after_s
+                item,
+                attempt,
+                "NOT_RUN",
+                status=503,
+                retry_after_s=answer.retry_after_s,
+                is_server_reached=answer.is_server_reached,
             )
         elif answer.status == 0:
             self._end_attempt(item, attempt, "LOST", is_disconnected=True)
@@ -423,6 +430,7 @@
                 refusal.status,
                 is_not_run=is_not_run,
                 retry_after_s=refusal.retry_after_s,
+                is_server_reached=effect.is_server_reached,
             )
         )
 
--- a/packages/transport/bilberryridge/transport/headers.py
+++ b/packages/transport/bilberryridge/transport/headers.py
@@ -17,6 +17,7 @@
 ENVELOPE = "Bilberryridge-Envelope"
 ENVELOPE_MAC = "Bilberryridge-Envelope-Mac"
 STREAM_ORIGIN = "Bilberryridge-Stream-Origin"
+SERVER_REACHED = "Bilberryridge-Server-Reached"
 BODY_KEPT = "Bilberryridge-Body-Kept"
 PRIVATE_PREFIX = "bilberryridge-"
 
@@ -48,6 +49,11 @@
 _ANSWER_SET_BY_THE_EDGE = frozenset([REQUEST_ID.lower(), TRACE_PARENT])
 
 
+def encode_flag(is_set: bool) -> str:
+    """Return the value of a field that says yes or no."""
+    return "1" if is_set else "0"
+
+
 def encode(fields: Fields) -> list[tuple[bytes, bytes]]:
     """Return fields as the bytes from which they were read; values need not be ASCII.
 
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -254,6 +254,7 @@
             is_end_marked=self._is_end_marked,
             n_incomplete_bytes=len(self._splitter.incomplete),
             limit_per_s=head.limit_per_s if head else None,
+            is_server_reached=head is None or head.is_server_reached,
         )
         self._owner.on_ended(self, ended)
 
--- a/packages/transport/bilberryridge/transport/ingress/dialect.py
+++ b/packages/transport/bilberryridge/transport/ingress/dialect.py
@@ -65,6 +65,8 @@
         at its address.
     origin : StreamOrigin or None
         Of a stream that another daemon forwards, as told by it.
+    is_server_reached : bool
+        Whether the request may have reached a backend server.
     """
 
     status: int
@@ -78,6 +80,7 @@
     brittle_per_s: float | None = None
     is_own_word: bool = False
     origin: ingress.StreamOrigin | None = None
+    is_server_reached: bool = True
 
 
 ReadAnswer = Callable[[int, headers.Fields], AnswerHead]
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -128,12 +128,22 @@
         head, body = self._attempt.head, bytes(self._attempt.body)
         self._answer(head.status, head.fields, body)
 
-    def refuse(self, refusal: outcomes.Refusal) -> None:
-        """Answer the request with a refusal and close the exchange."""
+    def refuse(self, refusal: outcomes.Refusal, is_server_reached: bool) -> None:
+        """Answer the request with a refusal and close the exchange.
+
+        Parameters
+        ----------
+        refusal : Refusal
+        is_server_reached : bool
+            See `effects.Refuse`; told to another daemon, not to a caller.
+        """
         fields = (
             *self._wire.refusal_fields(refusal),
             (headers.OUTCOME, refusal.outcome.value),
         )
+        if self._conn is not None and self._conn.is_relay:
+            value = headers.encode_flag(is_server_reached)
+            fields = (*fields, (headers.SERVER_REACHED, value))
         body = problems.body_of(refusal, self.request_id)
         fields = (*fields, ("Content-Length", str(len(body))))
         self._answer(refusal.status, fields, body)
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -260,7 +260,7 @@
         self._log("refuse", effect.request_id, log_fields)
         self._counters.count("ingress_refused", (refusal.reason.value,))
         ex = self._exchanges[effect.request_id]
-        ex.refuse(refusal)
+        ex.refuse(refusal, effect.is_server_reached)
         self._remove(ex, refusal.reason.value)
 
     def _abort_stream(self, effect: effects.AbortStream) -> None:
