Retry budget: accrues with requests and time, and holds however often daemons start

Each daemon kept times of its retries in a window, which die with it: after a restart all daemons had the fixed allowance and the ratio's again, and one that saw few others took a larger share. Now what may be spent accrues and is kept up to a bound, and a start begins with little, so the sum over any window is bounded by what is kept plus what accrues, whoever starts when.

On real daemons a herd of restarts under this load was not played. In the users' record six of nine daemons had just started.

--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -30,6 +30,10 @@
     take_ups,
 )
 
+DAEMONS_COUNTED_INTERVAL_S = 1.0
+"""Interval at which the daemons that share the retry budget are counted, besides when
+their list is read."""
+
 
 def _on_table(st: state.State, now_s: float, event: events.TableRead) -> None:
     if st.table is not None and event.table.version <= st.table.version:
@@ -55,6 +59,7 @@
     for name in sorted(before ^ after):
         change = "serves" if name in after else "is gone"
         st.emit(effects.LogStateChange("entry", f"{name} {change}"))
+    _count_daemons(st, now_s)
 
 
 def _on_evacuations(
@@ -73,7 +78,14 @@
     st.stopping_s = now_s
 
 
+def _count_daemons(st: state.State, now_s: float) -> None:
+    st.daemons_counted_s = now_s
+    st.budget.update_daemons(st.members.n_daemons(now_s), now_s)
+
+
 def _on_tick(st: state.State, now_s: float, event: events.Tick) -> None:
+    if now_s - st.daemons_counted_s >= DAEMONS_COUNTED_INTERVAL_S:
+        _count_daemons(st, now_s)
     request_handlers.on_tick(st, now_s)
     st.members.remove_expired(now_s)
     load_handlers.on_tick(st, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/retrying.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/retrying.py
@@ -56,8 +56,7 @@
     st: state.State, item: state.OpenRequest, now_s: float, fraction: float = 1.0
 ) -> bool:
     """Count a retry if that fraction of the budget allows it; return whether so."""
-    n_daemons = st.members.n_daemons(now_s)
-    if not st.budget.take(item.service.name, now_s, n_daemons, fraction):
+    if not st.budget.take(item.service.name, now_s, fraction):
         item.obstacle = Obstacle.BUDGET.value
         return False
     item.n_counted += 1
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -253,6 +253,7 @@
         self.budget = retry_budget.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self.daemons_counted_s = float("-inf")
         self.quarantine = quarantine.Quarantine()
         self.crashing_requests = crashing_requests.CrashingRequests()
         self.unstored_requests: collections.deque[crash_reports.CrashedRequests] = (
