Silent servers: an attempt goes on until a better one is taken from the budget

Callers got 502 with seconds of their time left, for requests that sound servers were about to answer, and servers that stood still together got each request twice. An attempt was given up 0.67 s after it was sent, then a retry was looked for; the silence of all servers counted as the fault of each. Now the daemon is told of the silence and the attempt goes on. It is replaced only where the retry is in the budget and expected to answer in half the time already taken, at a server that answers or is the first to be tried. The time for which a server has been silent counts in its estimate, here and in what regions report.

What ends with a lost connection is retried as before; relayed requests are no longer timed where only the entry retries.

--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -30,8 +30,10 @@
     needs_fresh_conn : bool
         Whether connections that have been idle for long must not be reused, as the
         request can't be retried if the server closes one.
-    first_byte_timeout_s, stall_timeout_s : float or None
-        Longest wait for the first byte, and longest pause after it; None for no limit.
+    first_byte_timeout_s : float or None
+        Time without a first byte after which the node is told; None for never.
+    stall_timeout_s : float or None
+        Longest pause after the first byte; None for no limit.
     fetch_from : str
         Address of a server that has leading parts of the prompt cached, from which the
         chosen server is to fetch them; empty for none.
--- a/packages/decisions/bilberryridge/decisions/ingress/estimates.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/estimates.py
@@ -48,6 +48,8 @@
         Time from the first byte to the end of a stream.
     n_fetched_tokens : int
         Prompt tokens fetched from another server's cache.
+    silent_s : float
+        The part of `first_s` for which the server has been silent, as it may go on so.
     """
 
     first_s: float
@@ -56,6 +58,7 @@
     prefill_s: float = 0.0
     stream_s: float = 0.0
     n_fetched_tokens: int = 0
+    silent_s: float = 0.0
 
 
 def n_tokens_ahead(n_pending: int, n_urgent: int, is_urgent: bool) -> float:
@@ -98,7 +101,7 @@
     """
     total = server.work.sums
     if engine is None or prompt is None:
-        return _at_plain(server, total, is_urgent)
+        return _with_silence(_at_plain(server, total, is_urgent), server, now_s)
     n_cached_tokens = server.cache.n_cached_tokens(prompt.parts)
     n_fetched = n_fetchable - n_cached_tokens
     if n_fetched < MIN_FETCHED_TOKENS:
@@ -114,7 +117,18 @@
     if n_fetched:
         first_s += FETCH_SETUP_S + n_fetched * FETCH_S_PER_TOKEN
     stream_s = prompt.n_answer_tokens * server.inter_token_s(now_s)
-    return Estimate(first_s, queue_s, n_prefill, prefill_s, stream_s, n_fetched)
+    expected = Estimate(first_s, queue_s, n_prefill, prefill_s, stream_s, n_fetched)
+    return _with_silence(expected, server, now_s)
+
+
+def _with_silence(
+    expected: Estimate, server: server_table.ServerState, now_s: float
+) -> Estimate:
+    silent_s = server.silent_s(now_s)
+    if not silent_s:
+        return expected
+    first_s = expected.first_s + silent_s
+    return attrs.evolve(expected, first_s=first_s, silent_s=silent_s)
 
 
 def _slot_wait_s(total: open_work.Sums, engine: ingress.Engine) -> float:
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -178,6 +178,20 @@
     origin: ingress.StreamOrigin | None = None
 
 
+@attrs.frozen
+class AttemptSilent:
+    """No answer began within the time in which one was expected; the attempt goes on.
+
+    Parameters
+    ----------
+    request_id : str
+    attempt_id : int
+    """
+
+    request_id: str
+    attempt_id: int
+
+
 @attrs.frozen
 class AttemptEnded:
     """An attempt ended.
@@ -313,6 +327,7 @@
     | CallerGone
     | ServerSaid
     | AttemptBegan
+    | AttemptSilent
     | AttemptEnded
     | ProbeEnded
     | LinkUp
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -1,5 +1,7 @@
 """Handlers of links and load reports between daemons."""
 
+import statistics
+
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
     crash_handlers,
@@ -159,6 +161,8 @@
         + server.failure_rate(now_s)
         for server in servers
     )
+    # One that was just sent its first request doesn't show yet that it is silent too.
+    unloaded_first_s += statistics.median(server.silent_s(now_s) for server in servers)
     n_free_tokens = 0
     if service.engine is not None:
         n_usable = int(
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -26,6 +26,7 @@
     placement,
     request_handlers,
     server_word_handlers,
+    silence_handlers,
     state,
     take_ups,
 )
@@ -108,6 +109,7 @@
     events.CallerGone: request_handlers.on_caller_gone,
     events.ServerSaid: server_word_handlers.on_server_said,
     events.AttemptBegan: request_handlers.on_attempt_began,
+    events.AttemptSilent: silence_handlers.on_attempt_silent,
     events.AttemptEnded: request_handlers.on_attempt_ended,
     events.ProbeEnded: path_handlers.on_probe_ended,
     events.LinkUp: load_handlers.on_link_up,
--- a/packages/decisions/bilberryridge/decisions/ingress/open_work.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/open_work.py
@@ -97,16 +97,23 @@
 
     def __init__(self) -> None:
         self.local_attempts: dict[Key, OpenAttempt] = {}
+        self._waiting: dict[Key, OpenAttempt] = {}
         self.peer_shares: dict[str, load_messages.ServerShare] = {}
         self.local_sums = Sums()
         self.sums = Sums()
         self.worst_failure_rate = 0.0
         self.unreachable_vms: set[str] = set()
 
+    @property
+    def oldest_waiting(self) -> OpenAttempt | None:
+        """The first sent of this daemon's attempts without a first byte."""
+        return next(iter(self._waiting.values()), None)
+
     def begin(self, key: Key, attempt: OpenAttempt) -> None:
         """Add an attempt of this daemon."""
         self.end(key)
         self.local_attempts[key] = attempt
+        self._waiting[key] = attempt
         self.local_sums.add_attempt(attempt)
         self.sums.add_attempt(attempt)
 
@@ -118,12 +125,14 @@
         self.local_sums.add_pending(attempt, -1)
         self.sums.add_pending(attempt, -1)
         attempt.has_begun = True
+        self._waiting.pop(key, None)
         attempt.n_pending_tokens = 0
         return attempt
 
     def end(self, key: Key) -> None:
         """Remove an attempt of this daemon."""
         attempt = self.local_attempts.pop(key, None)
+        self._waiting.pop(key, None)
         if attempt is not None:
             self.local_sums.add_attempt(attempt, -1)
             self.sums.add_attempt(attempt, -1)
--- a/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
@@ -17,9 +17,6 @@
 """Time after an answer in which another daemon's lost path says nothing of this one."""
 N_WITNESSES = 3
 """Daemons that probe a server for another one although they have just heard from it."""
-MIN_SILENT_S, SILENT_FACTOR = 0.3, 3.0
-"""Time without a word from a server, at least and as a multiple of the estimate, after
-which the path of a request that waits there is probed. It covers a retransmission."""
 UNANSWERED_S = 1.0
 """Time without an answer, at a request's deadline, after which the path is doubted."""
 
@@ -50,16 +47,23 @@
         return
     silent_s = now_s - attempt.sent_s
     server = st.servers.by_id.get(attempt.server_id)
-    if silent_s < MIN_SILENT_S or server is None:
+    if silent_s < server_table.MIN_SILENT_S or server is None:
         return
     sent = server.work.local_attempts.get((item.req.id, attempt.id))
-    if sent is None or silent_s < SILENT_FACTOR * sent.expected_s:
+    if sent is None or silent_s < server_table.SILENT_FACTOR * sent.expected_s:
         return
     is_heard = server.heard_s >= attempt.sent_s
     if not is_heard and not server.path.is_probed_since(attempt.sent_s):
         _ask(st, server, now_s)
 
 
+def on_silent(st: state.State, attempt: state.Attempt, now_s: float) -> None:
+    """Doubt the path to a server that has not begun an answer when one was expected."""
+    server = st.servers.by_id.get(attempt.server_id)
+    if server is not None:
+        _ask(st, server, now_s, is_doubted=True)
+
+
 def on_deadline(st: state.State, item: state.OpenRequest, now_s: float) -> None:
     """Doubt the path to a server that didn't begin to answer before the deadline."""
     attempt = item.attempt
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -17,6 +17,7 @@
     server_table,
     server_word_handlers,
     service_choice,
+    silence_handlers,
     state,
     take_ups,
 )
@@ -142,7 +143,7 @@
         item.is_detached = True
         st.emit(effects.DetachCaller(item.req.id))
         return
-    _cancel_attempt(st, item)
+    sending.cancel(st, item)
     _close_request(st, item)
 
 
@@ -154,6 +155,7 @@
     assert item.attempt is not None
     item.is_committed = item.is_committed or event.is_committed
     item.attempt.begun_s = now_s
+    item.attempt.is_silent = False
     if event.is_committed:
         take_ups.record_origin(st, item, item.attempt, event.origin)
         take_ups.record(st, item, now_s)
@@ -173,7 +175,7 @@
     item.last_result = event.result.value
     is_sent = event.result is not events.AttemptResult.NOT_SENT
     item.n_arrivals += is_sent and event.is_server_reached
-    _record_relay_ended(st, attempt)
+    sending.record_relay_ended(st, attempt)
     if event.is_committed:
         take_ups.record_origin(st, item, attempt, None)
         item.n_events += event.n_events
@@ -202,19 +204,20 @@
         if now_s < item.deadline_s:
             _recall_held_back(st, item, now_s)
             path_handlers.on_waiting(st, item, now_s)
+            silence_handlers.on_waiting(st, item, now_s)
             continue
         if item.is_detached:
-            _cancel_attempt(st, item)
+            sending.cancel(st, item)
             _close_request(st, item)
             continue
         log_fields = {"open_s": round(now_s - item.arrived_s, 3)}
         path_handlers.on_deadline(st, item, now_s)
         if item.is_committed:
-            _cancel_attempt(st, item)
+            sending.cancel(st, item)
             st.emit(effects.AbortStream(item.req.id, log_fields))
             _close_request(st, item)
             continue
-        _cancel_attempt(st, item)
+        sending.cancel(st, item)
         _refuse(st, item, outcomes.Reason.DEADLINE, log_fields)
 
 
@@ -226,7 +229,7 @@
         return
     hold_back = holding_back.find(st, item.req, now_s)
     if hold_back is not None:
-        _cancel_attempt(st, item)
+        sending.cancel(st, item)
         item.may_have_run = True
         _hold_back(st, item, hold_back)
 
@@ -280,7 +283,7 @@
     if isinstance(choice, placement.NoCapacity):
         _refuse_for_room(st, item, choice)
     else:
-        _send(st, item, choice, now_s)
+        sending.send(st, item, choice, now_s)
 
 
 def _refuse_for_room(
@@ -359,7 +362,7 @@
         is_placed = not isinstance(choice, placement.NoCapacity)
         if is_placed and retrying.take_budget(st, item, now_s, FAILURE_BUDGET_FRACTION):
             item.may_have_run = True
-            _send(st, item, choice, now_s)
+            sending.send(st, item, choice, now_s)
             return
     if not event.is_committed:
         st.emit(effects.PassAnswer(item.req.id, event.attempt_id))
@@ -433,18 +436,6 @@
     _give_up(st, item, outcomes.Reason.NO_SERVER, {}, retry_after_s)
 
 
-def _send(
-    st: state.State,
-    item: state.OpenRequest,
-    choice: placement.ServerChoice | placement.PeerChoice,
-    now_s: float,
-) -> None:
-    if isinstance(choice, placement.ServerChoice):
-        sending.send_to_server(st, item, choice, now_s)
-    else:
-        sending.send_to_peer(st, item, choice, now_s)
-
-
 def _give_up(
     st: state.State,
     item: state.OpenRequest,
@@ -501,22 +492,6 @@
     st.emit(effects.Refuse(req.id, refusal, log_fields))
 
 
-def _record_relay_ended(st: state.State, attempt: state.Attempt) -> None:
-    if attempt.peer:
-        st.n_relays[attempt.peer] -= 1
-
-
-def _cancel_attempt(st: state.State, item: state.OpenRequest) -> None:
-    if item.attempt is None:
-        return
-    st.emit(effects.CancelAttempt(item.req.id, item.attempt.id))
-    _record_relay_ended(st, item.attempt)
-    server = st.servers.by_id.get(item.attempt.server_id)
-    if server is not None:
-        server.work.end((item.req.id, item.attempt.id))
-    item.attempt = None
-
-
 def _close_request(st: state.State, item: state.OpenRequest) -> None:
     st.open_requests.pop(item.req.id, None)
 
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -14,7 +14,7 @@
 
 FIRST_BYTE_FACTOR = 3.0
 """Multiple of the estimated time to the first byte before which an attempt is never
-given up."""
+replaced."""
 FIRST_BYTE_MARGIN_S = {
     ingress.RequestKind.SAFE: 0.1,
     ingress.RequestKind.STREAM: 0.8,
@@ -30,6 +30,37 @@
 """Time, besides that interval, until a request is known to others."""
 
 
+def send(
+    st: state.State,
+    item: state.OpenRequest,
+    choice: placement.ServerChoice | placement.PeerChoice,
+    now_s: float,
+) -> None:
+    """Send a request where it is placed and record the attempt."""
+    if isinstance(choice, placement.ServerChoice):
+        send_to_server(st, item, choice, now_s)
+    else:
+        send_to_peer(st, item, choice, now_s)
+
+
+def cancel(st: state.State, item: state.OpenRequest) -> None:
+    """Close the open attempt of a request, if there is one."""
+    if item.attempt is None:
+        return
+    st.emit(effects.CancelAttempt(item.req.id, item.attempt.id))
+    record_relay_ended(st, item.attempt)
+    server = st.servers.by_id.get(item.attempt.server_id)
+    if server is not None:
+        server.work.end((item.req.id, item.attempt.id))
+    item.attempt = None
+
+
+def record_relay_ended(st: state.State, attempt: state.Attempt) -> None:
+    """Count an attempt through another daemon as no longer open."""
+    if attempt.peer:
+        st.n_relays[attempt.peer] -= 1
+
+
 def send_to_server(
     st: state.State,
     item: state.OpenRequest,
@@ -44,7 +75,11 @@
     prompt = item.req.prompt
     n_memory = prompt.n_tokens + prompt.n_answer_tokens if prompt else 0
     open_attempt = open_work.OpenAttempt(
-        expected.n_prefill_tokens, n_memory, item.is_urgent, now_s, expected.first_s
+        expected.n_prefill_tokens,
+        n_memory,
+        item.is_urgent,
+        now_s,
+        expected.first_s - expected.silent_s,
     )
     server.record_sent((item.req.id, attempt.id), open_attempt, now_s)
     if prompt is not None and item.service.engine is not None:
@@ -155,15 +190,12 @@
 def _first_byte_timeout_s(
     item: state.OpenRequest, expected_s: float, now_s: float
 ) -> float | None:
-    """Return how long to wait for the first byte; None if no retry is possible.
+    """Return after what time without a first byte a retry is weighed; None for never.
 
     A slow server may still answer, and the other servers may be faulty. So the attempt
-    is not given up while a retry as fast as estimated would still meet the goal.
+    is not replaced while a retry as fast as estimated would still meet the goal.
     """
-    if (
-        not item.route.is_repeatable
-        or item.n_server_attempts >= item.route.max_attempts
-    ):
+    if not _may_be_replaced(item):
         return None
     margin_s = FIRST_BYTE_MARGIN_S[item.route.kind]
     latest_retry_s = item.remaining_goal_s(now_s) - expected_s - margin_s
@@ -172,12 +204,13 @@
 
 def _stall_timeout_s(item: state.OpenRequest) -> float | None:
     """Return the longest pause after the first byte; None if no retry is possible."""
-    if (
-        not item.route.is_repeatable
-        or item.n_server_attempts >= item.route.max_attempts
-    ):
-        return None
-    return silence.LOST_SILENCE_S
+    return silence.LOST_SILENCE_S if _may_be_replaced(item) else None
+
+
+def _may_be_replaced(item: state.OpenRequest) -> bool:
+    """Return whether this daemon may send another attempt in place of the current."""
+    has_attempts = item.n_server_attempts < item.route.max_attempts
+    return item.route.is_repeatable and has_attempts and not item.req.is_relayed
 
 
 def _begin_attempt(
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from bilberryridge.core import ingress
+from bilberryridge.core import ingress, silence
 from bilberryridge.decisions import rendezvous
 from bilberryridge.decisions.ingress import (
     events,
@@ -40,6 +40,9 @@
 ERROR_STATUS_SEVERITY = 0.4
 """Severity of an error status, lower than that of a lost answer, as the request itself
 may be the cause."""
+MIN_SILENT_S, SILENT_FACTOR = 0.3, 3.0
+"""Time without a word from a server, at least and as a multiple of the estimate, after
+which it counts as silent. It covers a retransmission."""
 MAX_RANKINGS = 200
 """Maximum number of cached server rankings, some 20 kB each with 200 servers."""
 CACHE_FRACTION = 0.7
@@ -98,6 +101,10 @@
         When another daemon last told that it reaches the server all the same.
     n_reached_unreported : int
         See `load_messages.ServerShare`.
+    sent_s : float
+        When this daemon last sent it a request.
+    silence_ended_s : float
+        When it last began an answer after it had been silent.
     """
 
     record: ingress.BackendServer
@@ -124,6 +131,8 @@
     lost_elsewhere_s: float = -math.inf
     reached_elsewhere_s: float = -math.inf
     n_reached_unreported: int = 0
+    sent_s: float = -math.inf
+    silence_ended_s: float = -math.inf
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
 
@@ -175,6 +184,26 @@
             self.other_slowdown = after
         return took_s
 
+    def silent_s(self, now_s: float) -> float:
+        """Return for how long the server has been silent; 0 if it isn't.
+
+        A server that was sent nothing for a while may answer again.
+        """
+        oldest = self.work.oldest_waiting
+        if oldest is None or self.heard_s >= oldest.sent_s:
+            return 0.0
+        if now_s - self.sent_s >= silence.LOST_SILENCE_S:
+            return 0.0
+        waited_s = now_s - oldest.sent_s
+        is_late = waited_s >= max(MIN_SILENT_S, SILENT_FACTOR * oldest.expected_s)
+        return waited_s if is_late else 0.0
+
+    def record_heard(self, now_s: float) -> None:
+        """Record that the server has begun an answer."""
+        if self.silent_s(now_s) > 0:
+            self.silence_ended_s = now_s
+        self.heard_s = now_s
+
     def inter_token_s(self, now_s: float) -> float:
         """Return the estimated time between two tokens of a stream."""
         return self.inter_token_slowdown * prefill_load.inter_token_s(
@@ -200,6 +229,7 @@
     ) -> None:
         """Record an attempt of this daemon."""
         self.work.begin(key, attempt)
+        self.sent_s = now_s
         self.n_sent_tokens += attempt.n_pending_tokens
         self.prefill.add(attempt.n_pending_tokens, now_s)
 
@@ -381,6 +411,10 @@
         servers = self.servers_of(service)
         return bool(servers) and all(server.path.is_lost for server in servers)
 
+    def n_silent(self, service: str, now_s: float) -> int:
+        """Return how many of a service's servers are silent."""
+        return sum(server.silent_s(now_s) > 0 for server in self.servers_of(service))
+
     def cut_off_vms(self, service: str) -> set[str]:
         """Return the other daemons that have lost all paths to a service's servers."""
         lost = [server.work.unreachable_vms for server in self.servers_of(service)]
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -24,7 +24,7 @@
     server = st.servers.by_id.get(item.attempt.server_id)
     if server is None:
         return
-    server.heard_s = now_s
+    server.record_heard(now_s)
     crash_handlers.on_server_said(st, server, now_s)
     said_to = item.req.caller_request_id
     if event.is_leaving and not server.availability.is_leaving:
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -76,6 +76,10 @@
         When the first bytes of an answer were received.
     is_sound : bool
         Whether the server is known not to have crashed on it.
+    is_silent : bool
+        Whether no answer began within the time in which one was expected.
+    reviewed_s : float
+        When it was last decided whether another attempt replaces it.
     """
 
     id: int
@@ -86,6 +90,8 @@
     sent_s: float
     begun_s: float | None = None
     is_sound: bool = False
+    is_silent: bool = False
+    reviewed_s: float = float("-inf")
 
 
 @attrs.define
--- a/packages/standins/bilberryridge/standins/simulation/daemons.py
+++ b/packages/standins/bilberryridge/standins/simulation/daemons.py
@@ -301,9 +301,10 @@
 
     def _time_out(self, item: _Open, attempt: _Attempt) -> None:
         if item.attempt is attempt and attempt.held is None and not self.is_ended:
-            self._cancel_attempt(item)
-            item.attempt = attempt
-            self._end_attempt(item, attempt, "LOST", is_silent=True)
+            if self.is_frozen:
+                self._delayed.append(lambda: self._time_out(item, attempt))
+                return
+            self.handle(node_events.AttemptSilent(item.req.id, attempt.id))
 
     def _end_attempt(
         self, item: _Open, attempt: _Attempt, result: str, **changes: Any
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -41,6 +41,9 @@
     def on_begun(self, attempt: "Attempt") -> None:
         """The first bytes of an answer were received."""
 
+    def on_silent(self, attempt: "Attempt") -> None:
+        """Nothing of the answer was received in time; the attempt goes on."""
+
     def on_events(self, attempt: "Attempt", complete: event_stream.Events) -> None:
         """Forward complete events of a stream."""
 
@@ -60,9 +63,11 @@
     read_head : Callable
         Decodes the head of an answer.
     is_stream : bool
-    first_byte_timeout_s, stall_timeout_s : float or None
-        Longest time until the first bytes, of a stream until its first complete event,
-        and longest time without data, of a stream without a complete event, after them;
+    first_byte_timeout_s : float or None
+        Time until the first bytes, of a stream until its first complete event, after
+        which the owner is told that there are none; None for never.
+    stall_timeout_s : float or None
+        Longest time without data, of a stream without a complete event, after them;
         None for no limit.
     n_answer_tokens : int
         Most tokens that the request asks for; 0 if not known.
@@ -107,7 +112,8 @@
         self._is_disconnected = False
         self._is_silent = False
         self._timer: timers.Timer | None = None
-        self._set_timer(first_byte_timeout_s)
+        if first_byte_timeout_s is not None:
+            self._timer = loop.after(first_byte_timeout_s, self._on_late)
 
     @property
     def is_passed_through(self) -> bool:
@@ -223,6 +229,10 @@
             self.conn.cancel()
         self._report(result, detail)
 
+    def _on_late(self) -> None:
+        if not self._has_ended:
+            self._owner.on_silent(self)
+
     def _on_silence_timeout(self) -> None:
         if not self._has_ended:
             self._is_silent = True
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -192,6 +192,10 @@
         )
         self._post(began)
 
+    def on_silent(self, source: attempt.Attempt) -> None:
+        """See `attempt.Owner`."""
+        self._post(events.AttemptSilent(self.request_id, source.id))
+
     def on_events(self, source: attempt.Attempt, complete: event_stream.Events) -> None:
         """See `attempt.Owner`."""
         self._commit(source)
