Silent servers: answers that one silence delayed count once as slowness

Callers were refused 'no-capacity' at once after a silence, though the servers were sound again. Each answer that had waited through it raised the server's measured slowdown, up to ten times, so that the servers' queues looked too long. Of the answers that a silence delayed only the first counts now; a server that is slow each time still shows it.

--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -133,6 +133,7 @@
     n_reached_unreported: int = 0
     sent_s: float = -math.inf
     silence_ended_s: float = -math.inf
+    _is_silence_counted: bool = True
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
 
@@ -168,11 +169,18 @@
             self.availability.record_success()
 
     def record_first_byte(self, key: open_work.Key, now_s: float) -> float | None:
-        """Update the slowdown with an answer's first byte; return the time it took."""
+        """Update the slowdown with an answer's first byte; return the time it took.
+
+        Of the answers that one silence has delayed, only the first counts.
+        """
         attempt = self.work.mark_begun(key)
         if attempt is None:
             return None
         took_s = now_s - attempt.sent_s
+        if attempt.sent_s < self.silence_ended_s:
+            if self._is_silence_counted:
+                return took_s
+            self._is_silence_counted = True
         before = self.slowdown(attempt.is_urgent)
         ratio = min(
             MAX_SLOWDOWN, max(MIN_SLOWDOWN, took_s / attempt.expected_s * before)
@@ -202,6 +210,7 @@
         """Record that the server has begun an answer."""
         if self.silent_s(now_s) > 0:
             self.silence_ended_s = now_s
+            self._is_silence_counted = False
         self.heard_s = now_s
 
     def inter_token_s(self, now_s: float) -> float:
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_silence_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_silence_handlers.py
@@ -87,6 +87,18 @@
     assert sent.first_byte_timeout_s is None
 
 
+def test_issue_44_answers_delayed_by_one_silence_do_not_make_a_server_slow():
+    daemon = make_daemon()
+    sent = [daemon.arrive(str(n), "unsafe") for n in range(30)]
+    daemon.now_s += 1.2
+    for attempt in sent:
+        daemon.handle(events.ServerSaid(attempt.request_id, attempt.attempt_id))
+        daemon.handle(events.AttemptBegan(attempt.request_id, attempt.attempt_id))
+        daemon.end(attempt, "answered", status=200)
+    servers = daemon.node.state.servers.by_id.values()
+    assert max(server.slowdown(True) for server in servers) < 3.0
+
+
 def test_issue_44_server_is_tried_again_while_one_request_there_gets_no_answer():
     daemon = make_daemon()
     stuck = daemon.arrive("0", "unsafe", caller_timeout_s=100.0)
