Silent servers: open requests decide among several, and the ratio is used whole

Where all servers were silent, requests went to the one whose silence a daemon had noticed last, so some servers got twice as many as others and turned them away as they woke. A silent server costs the same however long it has been, and the open requests decide among several.

The ratio's allowance is used up to the bound that the accruing budget proves (accrued 0.65, kept 0.35 of it): the rule counts the requests of just the two windows that the bound needs, so no reserve is due there; a part of the fixed allowance remains for borders.

--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -28,6 +28,9 @@
 can be fetched."""
 FAILURE_WEIGHT = 1.5
 """Cost of a certain failure, in latency goals: the request would be late or lost."""
+SILENCE_COST_S = 0.3
+"""Cost of a server's silence, however long: how long each daemon has noticed it says
+little, and among several silent servers the open requests are to decide."""
 AFFINITY_FRACTION = 0.8
 """Fraction of the longest acceptable time to the first byte within which the affinity
 order of a shared prompt part is followed."""
@@ -381,6 +384,7 @@
         else 0,
     )
     cost_s = expected.first_s + READ_WEIGHT * expected.prefill_s
+    cost_s -= max(0.0, expected.silent_s - SILENCE_COST_S)
     cost_s += FETCH_COST_S_PER_TOKEN * expected.n_fetched_tokens
     cost_s += FAILURE_WEIGHT * item.route.latency_goal_s * server.failure_rate(now_s)
     prefix_source = (
--- a/packages/decisions/bilberryridge/decisions/ingress/retry_budget.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/retry_budget.py
@@ -12,11 +12,12 @@
 
 import attrs
 
-ACCRUED_RATIO_FRACTION, KEPT_RATIO_FRACTION = 0.6, 0.35
+ACCRUED_RATIO_FRACTION, KEPT_RATIO_FRACTION = 0.65, 0.35
 """Fractions of the ratio's allowance of a window that accrue within it, and that are
-kept for a burst; the rest covers requests and retries at the borders of a window."""
+kept for a burst; together they are all of it."""
 ACCRUED_SLACK_FRACTION, KEPT_SLACK_FRACTION = 0.25, 0.3
-"""The same of the fixed allowance."""
+"""The same of the fixed allowance; the rest covers restarts and the borders of a
+window."""
 INITIAL_SLACK_FRACTION = 0.2
 """Fraction of the fixed allowance that a daemon has when it starts: within the fixed
 allowance all daemons may start twice in a window."""
