Turned-away requests wait a moment where the other servers are full as well

As servers woke from a silence, requests that one had turned away were sent to the next full one at once and refused after their second attempt: callers got 503 for a lack of room that lasted 60 ms. A request that was turned away is sent on at once only to a server with a free slot; else after 0.05 to 0.15 s, when load reports tell who has room. Where nothing has room in time it is refused at once, and takes no retry.

The new test fails before: sent at once.

--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -1,5 +1,6 @@
 """Handlers of a request's events, from its arrival to its final answer."""
 
+import math
 from typing import Any
 
 import attrs
@@ -30,6 +31,9 @@
 core forwards some 150 requests a second, which are open for 1.5 s on average."""
 OVERRUN_RETRY_AFTER_S = 0.5
 """Retry-After then; about a third of them have ended."""
+NO_ROOM_DELAY_S = 0.1
+"""Mean time after which a request that was turned away is sent to a server that has
+requests waiting: load reports take as long, and many are often turned away at once."""
 PEER_ASIDE_S = 1.0
 """Time for which nothing is sent to another daemon that couldn't pass a request on."""
 NO_TABLE_RETRY_AFTER_S = 1.0
@@ -202,6 +206,10 @@
         _refuse_take_up(st, req)
     for item in list(st.open_requests.values()):
         if now_s < item.deadline_s:
+            if now_s >= item.place_again_s:
+                item.place_again_s = math.inf
+                _place(st, item, now_s)
+                continue
             _recall_held_back(st, item, now_s)
             path_handlers.on_waiting(st, item, now_s)
             silence_handlers.on_waiting(st, item, now_s)
@@ -382,9 +390,14 @@
         item.n_server_attempts -= 1
         _place_again(st, item, now_s)
         return
-    if retrying.reserve(st, item, now_s):
-        _place(st, item, now_s)
-        return
+    if retrying.may_retry(st, item, now_s):
+        choice = st.choose(st, item, now_s)
+        if isinstance(choice, placement.NoCapacity):
+            _refuse_for_room(st, item, choice)
+            return
+        if retrying.take_budget(st, item, now_s):
+            _send_with_room(st, item, choice, now_s)
+            return
     retry_after_s = event.retry_after_s if attempt.peer else None
     if retry_after_s is None:
         retry_after_s = placement.no_server_retry_after_s(st, item, now_s)
@@ -392,6 +405,20 @@
     _give_up(st, item, outcomes.Reason.NO_CAPACITY, log_fields, retry_after_s)
 
 
+def _send_with_room(
+    st: state.State,
+    item: state.OpenRequest,
+    choice: placement.ServerChoice | placement.PeerChoice,
+    now_s: float,
+) -> None:
+    """Send a request that was turned away; later if it would wait there as well."""
+    if choice.expected.queue_s <= 0:
+        sending.send(st, item, choice, now_s)
+        return
+    delay_s = NO_ROOM_DELAY_S * st.random_state.uniform(0.5, 1.5)
+    item.place_again_s = now_s + delay_s
+
+
 def _set_peer_aside(
     st: state.State,
     item: state.OpenRequest,
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -127,6 +127,8 @@
         Retries taken from the budget for it.
     last_result : str
         How its last attempt ended, for the log; empty before.
+    place_again_s : float
+        When it is placed again, while it waits for a server that had no room.
     obstacle : str
         Why it was not sent again when that was last decided, for the log.
     origin : StreamOrigin or None
@@ -156,6 +158,7 @@
     n_counted: int = 0
     last_result: str = ""
     obstacle: str = ""
+    place_again_s: float = float("inf")
     origin: ingress.StreamOrigin | None = None
     n_events: int = 0
     attempt: Attempt | None = None
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_retrying.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_retrying.py
@@ -58,3 +58,34 @@
     sent = daemon.arrive("1", "safe", is_relayed=True)
     [refused] = daemon.end(sent, "not run", status=503)
     assert refused.is_server_reached
+
+
+def fill(daemon, n_requests):
+    return [daemon.arrive(f"f{n}", "unsafe") for n in range(n_requests)]
+
+
+def test_issue_44_request_turned_away_by_a_full_server_waits_before_the_next_full_one():
+    daemon = make_daemon()
+    sent = daemon.arrive("1", "unsafe")
+    fill(daemon, 12)
+    assert daemon.end(sent, "not run", status=503) == []
+    [again] = [e for e in daemon.tick(0.2) if isinstance(e, effects.SendToServer)]
+    assert again.request_id == "1"
+    assert again.server.id != sent.server.id
+
+
+def test_request_turned_away_is_sent_to_a_server_with_room_at_once():
+    daemon = make_daemon()
+    sent = daemon.arrive("1", "unsafe")
+    [again] = daemon.end(sent, "not run", status=503)
+    assert isinstance(again, effects.SendToServer)
+
+
+def test_caller_of_a_request_that_waits_to_be_placed_again_may_leave():
+    daemon = make_daemon()
+    sent = daemon.arrive("1", "unsafe")
+    fill(daemon, 12)
+    daemon.end(sent, "not run", status=503)
+    daemon.handle(events.CallerGone("1"))
+    sends = [e for e in daemon.tick(0.2) if isinstance(e, effects.SendToServer)]
+    assert sends == []
