Silent servers: silence behind a lost path is not the server's

Callers of VMs that hang before servers were refused 'no-capacity' at once: the silence that a daemon saw through its own lost path counted in the estimate of the way through a neighbour, which reaches the server. That way is estimated without it, and a lost path ends it.

--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -212,7 +212,10 @@
         return None
     if len(candidates) > MAX_CANDIDATES:
         candidates = st.random_state.sample(candidates, MAX_CANDIDATES)
-    costed = [_cost_choice(server, item, None, now_s) for server in candidates]
+    costed = [
+        _without_silence(_cost_choice(server, item, None, now_s))
+        for server in candidates
+    ]
     choice = _cheapest(costed, item, now_s)
     reaching = [entry for entry in entries if choice.server.is_reached_by(entry.name)]
     n_fewest = min(st.n_relays[entry.name] for entry in reaching)
@@ -393,6 +396,18 @@
     return cost_s, ServerChoice(server, expected, prefix_source)
 
 
+def _without_silence(
+    costed_choice: tuple[float, ServerChoice],
+) -> tuple[float, ServerChoice]:
+    """Leave the silence out that this daemon's own path may explain."""
+    cost_s, choice = costed_choice
+    silent_s = choice.expected.silent_s
+    first_s = choice.expected.first_s - silent_s
+    expected = attrs.evolve(choice.expected, first_s=first_s, silent_s=0.0)
+    cost_s -= min(silent_s, SILENCE_COST_S)
+    return cost_s, attrs.evolve(choice, expected=expected)
+
+
 def _best_remote(
     st: state.State, item: state.OpenRequest, now_s: float
 ) -> PeerChoice | None:
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -195,10 +195,11 @@
     def silent_s(self, now_s: float) -> float:
         """Return for how long the server has been silent; 0 if it isn't.
 
-        A server that was sent nothing for a while may answer again.
+        Behind a lost path it isn't the server that is silent, and one that was sent
+        nothing for a while may answer again.
         """
         oldest = self.work.oldest_waiting
-        if oldest is None or self.heard_s >= oldest.sent_s:
+        if oldest is None or self.heard_s >= oldest.sent_s or self.path.is_lost:
             return 0.0
         if now_s - self.sent_s >= silence.LOST_SILENCE_S:
             return 0.0
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_silence_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_silence_handlers.py
@@ -105,3 +105,18 @@
     daemon.now_s += 5.0
     used = {daemon.arrive(str(n), "unsafe").server.id for n in range(1, 20)}
     assert stuck.server.id in used
+
+
+def test_issue_44_silence_behind_a_lost_path_is_not_the_servers():
+    neighbour = deployment.entry("vm-3")
+    daemon = deployment.Daemon([deployment.server("a")], (neighbour,))
+    daemon.arrive("1", "unsafe")
+    daemon.now_s += 2.4
+    server = daemon.node.state.servers.by_id["a"]
+    assert server.silent_s(daemon.now_s) > 2.0
+    server.path.ask(daemon.now_s, is_doubted=True)
+    assert isinstance(
+        daemon.arrive("2", "safe", caller_timeout_s=2.0), effects.SendToPeer
+    )
+    server.path.record_failure(daemon.now_s)
+    assert server.silent_s(daemon.now_s) == 0.0
--- a/packages/standins/bilberryridge/standins/simulation/tests/test_simulation.py
+++ b/packages/standins/bilberryridge/standins/simulation/tests/test_simulation.py
@@ -32,6 +32,7 @@
     *range(8),
     61,  # a server behind a path that hangs starts again
     143,  # requests wait in silence at paths that hang
+    226,  # the same, where attempts go on in silence
     467,  # the only server that a neighbour reaches fails
 )
 FLEET_SEEDS = (
@@ -40,7 +41,7 @@
 )
 PATH_SEED_THAT_SHOWS = {
     "servers are not reached through neighbours": 23,
-    "silence is not followed by a probe": 143,
+    "silence is not followed by a probe": 226,
 }
 
 
