Retry budget: only a restart begins without an allowance

A daemon now begins with what may be kept, 0.7 of its share, unless the store still names an earlier one of its VM; then with nothing, as that one may have spent it. The bound over any window is what is kept and what accrues, 0.95 of the fixed allowance, for any number of such restarts. A start that comes after the registration of the one before has lapsed (6 s) isn't noticed as a restart; 4 s of the window remain then.

--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -54,6 +54,12 @@
 
 
 def _on_entries(st: state.State, now_s: float, event: events.EntriesRead) -> None:
+    local = st.cfg.local_entry
+    if any(
+        entry.name == local.name and entry.incarnation != local.incarnation
+        for entry in event.entries
+    ):
+        st.budget.record_restart()
     before = {entry.name for entry in st.members.alive(now_s)}
     st.members.update(event.entries, event.is_settled, now_s)
     after = {entry.name for entry in st.members.alive(now_s)}
--- a/packages/decisions/bilberryridge/decisions/ingress/retry_budget.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/retry_budget.py
@@ -3,9 +3,8 @@
 Each daemon limits itself to a part of the ratio of its own requests and of an equal
 share of the fixed allowance, so daemons need not communicate before a retry. What is
 allowed accrues with requests and time and is kept up to a bound. Over any window a
-daemon spends at most what it had at the start of it and what accrues within, and a
-daemon that starts again begins with little, so the sum holds however often daemons
-start.
+daemon spends at most what it had at the start of it and what accrues within. A daemon
+that starts again begins with nothing, so the sum holds however often daemons start.
 """
 
 import collections
@@ -15,12 +14,8 @@
 ACCRUED_RATIO_FRACTION, KEPT_RATIO_FRACTION = 0.65, 0.35
 """Fractions of the ratio's allowance of a window that accrue within it, and that are
 kept for a burst; together they are all of it."""
-ACCRUED_SLACK_FRACTION, KEPT_SLACK_FRACTION = 0.25, 0.3
-"""The same of the fixed allowance; the rest covers restarts and the borders of a
-window."""
-INITIAL_SLACK_FRACTION = 0.2
-"""Fraction of the fixed allowance that a daemon has when it starts: within the fixed
-allowance all daemons may start twice in a window."""
+ACCRUED_SLACK_FRACTION, KEPT_SLACK_FRACTION = 0.25, 0.7
+"""The same of the fixed allowance; the rest covers the borders of a window."""
 N_DAEMONS_HELD_S = 60.0
 """Time for which daemons that are no longer seen keep their shares: they may be cut off
 and go on."""
@@ -63,8 +58,8 @@
     --------
     >>> budget = RetryBudget(ratio=0.2, slack=18, window_s=10)
     >>> budget.update_daemons(3, now_s=0)
-    >>> [budget.take("a", now_s) for now_s in (0, 0.1, 0.2, 11)]
-    [True, False, False, True]
+    >>> [budget.take("a", now_s) for now_s in (0, 0.1, 0.2, 0.3, 0.4, 8)]
+    [True, True, True, True, False, True]
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float):
@@ -72,6 +67,7 @@
         self.slack = slack
         self.window_s = window_s
         self._n_daemons = 1
+        self._is_restarted = False
         self._n_daemons_seen_s = 0.0
         self._accounts: dict[str, _Account] = {}
 
@@ -89,6 +85,14 @@
             self._n_daemons = max(1, n_daemons)
             self._n_daemons_seen_s = now_s
 
+    def record_restart(self) -> None:
+        """Record that this VM had a daemon before, which may have spent its share."""
+        if self._is_restarted:
+            return
+        self._is_restarted = True
+        for account in self._accounts.values():
+            account.slack_fraction = 0.0
+
     def record_request(self, service: str, now_s: float) -> None:
         """Record the first attempt of a request."""
         account = self._account(service, now_s)
@@ -121,7 +125,8 @@
         """Return a service's account as of now."""
         account = self._accounts.get(service)
         if account is None:
-            account = _Account(INITIAL_SLACK_FRACTION, 0.0, now_s)
+            initial = 0.0 if self._is_restarted else KEPT_SLACK_FRACTION
+            account = _Account(initial, 0.0, now_s)
             self._accounts[service] = account
         while account.requests_s and account.requests_s[0] <= now_s - self.window_s:
             account.requests_s.popleft()
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_retry_budget.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_retry_budget.py
@@ -29,6 +29,8 @@
         if starts_s and now_s >= starts_s[0]:
             starts_s.pop(0)
             budgets = [make_budget(now_s) for _ in range(N_DAEMONS)]
+            for budget in budgets:
+                budget.record_restart()
         for budget in budgets:
             if random_state.random() < requests_per_s / N_DAEMONS * STEP_S:
                 budget.record_request("desk", now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_retrying.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_retrying.py
@@ -89,3 +89,15 @@
     daemon.handle(events.CallerGone("1"))
     sends = [e for e in daemon.tick(0.2) if isinstance(e, effects.SendToServer)]
     assert sends == []
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "expected"), [("i0", effects.Refuse), ("i1", effects.SendToServer)]
+)
+def test_issue_44_daemon_whose_vm_had_another_begins_without_an_allowance(
+    incarnation, expected
+):
+    entry = deployment.entry("vm-1", incarnation=incarnation)
+    daemon = make_daemon(peers=(entry,))
+    [effect] = daemon.end(daemon.arrive("1", "safe"), "lost")
+    assert isinstance(effect, expected)
