Streams: a begun stream ends where its next answer is not a stream

Callers' streams stayed open without a byte, past the route's timeout: a stream that broke off was sent on, the next server answered 500, 504, 404 or a 503 that ran, and the held answer was neither passed on nor the stream ended, as the request was closed without an effect. Such an answer is now taken as a lost one: the stream is sent on once more within its attempts and the budget, or broken off so that it looks incomplete.

The own interface ends a committed answer in each such case already.

--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -231,6 +231,8 @@
         False if events were passed on and no id tells where to resume the stream.
     limit_per_s : float or None
         Rate limit that the answer names, for the log.
+    is_held : bool
+        Whether the answer is held for `effects.PassAnswer`, not passed on as it came.
     is_server_reached : bool
         False if another daemon refused the request without asking a backend server.
     """
@@ -254,6 +256,7 @@
     n_incomplete_bytes: int = 0
     is_position_known: bool = True
     limit_per_s: float | None = None
+    is_held: bool = False
     is_server_reached: bool = True
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -188,7 +188,12 @@
     if item.is_detached:
         _close_request(st, item)
         return
-    if event.result is events.AttemptResult.ANSWERED:
+    is_answered = event.result is events.AttemptResult.ANSWERED
+    if is_answered and item.is_committed and event.is_held:
+        # An answer of another kind can't be joined to the stream that has begun.
+        item.may_have_run = True
+        _on_lost(st, item, event, now_s)
+    elif is_answered:
         _on_answered(st, item, event, now_s)
     elif event.result is events.AttemptResult.NOT_RUN:
         _on_not_run(st, item, attempt, event, now_s)
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -218,6 +218,7 @@
         ended = attrs.evolve(
             ended,
             is_committed=self._is_committed,
+            is_held=not source.is_passed_through,
             is_position_known=not self._has_passed_data or bool(self._last_event_id),
         )
         self._post(ended)
