Answers with two lengths are taken as spoiled; none is left without an end

Callers got the head of an answer and then nothing, past their deadline: a server named a Content-Length and sent chunks of another length. The chunks were read, the length was passed on, and writing the body raised an error after the request had been closed, so nothing ended the caller's connection. Such an answer is spoiled (RFC 9112, 6.3): a safe request is sent on, another ends 502. Should an answer be unwritable for another reason, its connection is broken off and the exchange released.

The own interface counts the body itself.

--- a/packages/transport/bilberryridge/transport/answers.py
+++ b/packages/transport/bilberryridge/transport/answers.py
@@ -78,6 +78,24 @@
     return bool(headers.find(fields, "content-length"))
 
 
+def has_two_lengths(fields: headers.Fields) -> bool:
+    """Return whether an answer names a length and is coded for transfer as well.
+
+    The two may differ, and a recipient can't tell which of them is the fault.
+
+    References
+    ----------
+    RFC 9112, HTTP/1.1, section 6.3.
+
+    Examples
+    --------
+    >>> has_two_lengths((("Content-Length", "3"), ("Transfer-Encoding", "chunked")))
+    True
+    """
+    is_coded = bool(headers.find(fields, "transfer-encoding"))
+    return is_coded and bool(headers.find(fields, "content-length"))
+
+
 def retry_after_s(text: str) -> float | None:
     """Parse a `Retry-After` in seconds; None for any other value.
 
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import attrs
+import h11
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import effects, events
@@ -294,12 +295,17 @@
         return ()
 
     def _answer(self, status: int, fields: headers.Fields, body: bytes) -> None:
-        if self._conn is not None:
-            if not headers.find(fields, "content-length"):
-                fields = (*fields, ("Content-Length", str(len(body))))
-            self._conn.start_answer(status, fields)
-            if body and self.head.method != "HEAD":
-                self._conn.send(body)
-            self._conn.finish()
-            self._conn = None
+        conn, self._conn = self._conn, None
         self.close()
+        if conn is None:
+            return
+        if not headers.find(fields, "content-length"):
+            fields = (*fields, ("Content-Length", str(len(body))))
+        try:
+            conn.start_answer(status, fields)
+            if body and self.head.method != "HEAD":
+                conn.send(body)
+            conn.finish()
+        except h11.LocalProtocolError as exc:
+            LOGGER.error("an answer can't be written", extra={"detail": str(exc)})
+            conn.abort()
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -403,6 +403,9 @@
             if self._n_skipped > MAX_SKIPPED_ANSWERS:
                 self._fail(Failure.OVER_BOUND, "too many answers to other requests")
             return
+        if answers.has_two_lengths(fields):
+            self._fail(Failure.SPOILED, "an answer with two lengths")
+            return
         self._update_idle_limit(fields)
         assert self._request is not None
         method = self._request.method.decode("latin-1")
