Planned stop: requests that are open at its end get a final answer

Callers whose requests came late in a planned stop were cut off without an answer at its end, also those that must not repeat: they were taken with their own deadline, later than the daemon's end, and open requests went down with their connections. In a planned stop no deadline is later than 0.25 s before the end; what can't be answered by then is refused at once, as stopping, so that another entry VM takes it, and what is open then ends 504, or its stream is broken off.

Server runs are never cut earlier than before but for these 0.25 s, and five sixths of the grace period remain. The own interface was not looked at.

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -52,6 +52,8 @@
 GRACE_FRACTION = 0.9
 """Fraction of the grace period after which open streams are aborted. Streams must be
 served for five sixths of it, and the daemon must exit before SIGKILL."""
+FINAL_ANSWERS_S = 0.25
+"""Time before that in which requests that are still open get a final answer."""
 DIRECTORY_TTL_S = 1.0
 """Callers stop using a lost VM after one to three times this lifetime."""
 MAX_CONNECTIONS = 1500
@@ -256,7 +258,8 @@
     def _begin_stop(self) -> None:
         LOGGER.info("stopping", extra={"open": self._gateway.n_open_requests})
         self._stopping_since_s = self._loop.now_s()
-        self._gateway.post(events.StopAsked())
+        end_s = GRACE_FRACTION * self._cfg.grace_s
+        self._gateway.post(events.StopAsked(end_s - FINAL_ANSWERS_S))
         self._following.revoke()
         # Without links the peers forward no further requests to this daemon.
         self._links.close()
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -1,6 +1,7 @@
 """Events that an ingress node handles."""
 
 import enum
+import math
 
 import attrs
 
@@ -309,7 +310,15 @@
 
 @attrs.frozen
 class StopAsked:
-    """A planned stop was requested."""
+    """A planned stop was requested.
+
+    Parameters
+    ----------
+    serve_s : float
+        Time within which open requests must get their final answer.
+    """
+
+    serve_s: float = math.inf
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -83,6 +83,9 @@
 
 def _on_stop(st: state.State, now_s: float, event: events.StopAsked) -> None:
     st.stopping_s = now_s
+    st.serves_until_s = now_s + event.serve_s
+    for item in st.open_requests.values():
+        item.deadline_s = min(item.deadline_s, st.serves_until_s)
 
 
 def _count_daemons(st: state.State, now_s: float) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -60,6 +60,7 @@
         outcomes.Reason.NO_SERVER,
         outcomes.Reason.PROMPT_HELD_BACK,
         outcomes.Reason.REQUEST_HELD_BACK,
+        outcomes.Reason.STOPPING,
         outcomes.Reason.STREAM_ORIGIN_UNKNOWN,
     ]
 )
@@ -127,7 +128,7 @@
         route,
         service,
         now_s,
-        now_s + caller_timeout_s,
+        min(now_s + caller_timeout_s, st.serves_until_s),
         waited_s,
         origin=req.origin,
         n_events=req.n_received_events if req.origin else 0,
@@ -313,7 +314,10 @@
         "waited_s": round(item.waited_s, 3),
     }
     retry_after_s: float | None = choice.retry_after_s
-    if item.origin is not None and not st.versions.is_served(item.origin):
+    if st.is_stopping and not item.req.is_relayed:
+        # Other entry VMs have more time.
+        reason, retry_after_s = outcomes.Reason.STOPPING, STOPPING_RETRY_AFTER_S
+    elif item.origin is not None and not st.versions.is_served(item.origin):
         log_fields["version_left"] = item.origin.version
         # Coming back is of no use; to another daemon it would speak of this one only.
         retry_after_s = choice.retry_after_s if item.req.is_relayed else None
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -281,6 +281,7 @@
         self.open_requests: dict[str, OpenRequest] = {}
         self.longest_timeout_s: dict[str, float] = {}
         self.stopping_s: float | None = None
+        self.serves_until_s = float("inf")
         self.daemon_loads_reported_s = float("-inf")
         self.daemon_loads_interval_s = 0.0
         self.region_loads_reported_s = float("-inf")
