A server that was lost while the store is away may have started again

Callers got streams joined from two software versions, and servers that came back cold under their ids got the whole traffic and fell over: a daemon that saw a server refuse connections and then take one took it for the same start, though only the store could tell, and it was down.

With the store up the behaviour is as it was; a server that is back before one daemon has noticed its loss is not doubted there.

--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -39,6 +39,8 @@
         chosen server is to fetch them; empty for none.
     n_answer_tokens : int
         Most tokens that the request asks for; 0 if not known.
+    is_start_known : bool
+        Whether the server is surely of the version that `server` tells.
     log_fields : mapping
         Inputs of the decision, for the log.
     """
@@ -55,6 +57,7 @@
     log_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
     fetch_from: str = ""
     n_answer_tokens: int = 0
+    is_start_known: bool = True
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -240,7 +240,8 @@
     """Return the servers that can continue the request's stream; all for a new one."""
     if item.origin is None:
         return servers
-    return [s for s in servers if s.record.version == item.origin.version]
+    version = item.origin.version
+    return [s for s in servers if s.is_start_known and s.record.version == version]
 
 
 def _best_local(
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -71,7 +71,8 @@
     server, expected = choice.server, choice.expected
     record = server.record
     region = st.cfg.local_entry.region
-    attempt = _begin_attempt(st, item, record.id, "", region, record.version, now_s)
+    version = record.version if server.is_start_known else None
+    attempt = _begin_attempt(st, item, record.id, "", region, version, now_s)
     prompt = item.req.prompt
     n_memory = prompt.n_tokens + prompt.n_answer_tokens if prompt else 0
     open_attempt = open_work.OpenAttempt(
@@ -124,6 +125,7 @@
             log_fields,
             choice.prefix_source.record.address if choice.prefix_source else "",
             prompt.n_answer_tokens if prompt else 0,
+            server.is_start_known,
         )
     )
 
@@ -219,7 +221,7 @@
     server_id: str,
     peer: str,
     region: str,
-    version: str,
+    version: str | None,
     now_s: float,
 ) -> state.Attempt:
     if item.n_attempts == 0 and not item.req.is_relayed:
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -105,6 +105,9 @@
         When this daemon last sent it a request.
     silence_ended_s : float
         When it last began an answer after it had been silent.
+    is_start_known : bool
+        Whether it is surely the start that `record` tells of; False after it was lost
+        and is reached again while the store can't tell.
     """
 
     record: ingress.BackendServer
@@ -133,6 +136,7 @@
     n_reached_unreported: int = 0
     sent_s: float = -math.inf
     silence_ended_s: float = -math.inf
+    is_start_known: bool = True
     _is_silence_counted: bool = True
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
@@ -361,6 +365,9 @@
             if server_id not in records and event.is_settled:
                 self._remember_words(self.by_id.pop(server_id))
                 changes.append(f"{server_id} is gone")
+        if event.is_settled:
+            for server in self.by_id.values():
+                server.is_start_known = True
         self._rebuild_index()
         return changes
 
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -69,8 +69,9 @@
     peer, region : str
         Name and region of that daemon; empty and the local region for an attempt at a
         server.
-    version : str
-        Version of the server's software when it was sent the request.
+    version : str or None
+        Version of the server's software when it was sent the request; None if that
+        isn't sure.
     sent_s : float
     begun_s : float or None
         When the first bytes of an answer were received.
@@ -86,7 +87,7 @@
     server_id: str
     peer: str
     region: str
-    version: str
+    version: str | None
     sent_s: float
     begun_s: float | None = None
     is_sound: bool = False
--- a/packages/decisions/bilberryridge/decisions/ingress/take_ups.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/take_ups.py
@@ -111,7 +111,8 @@
     if item.origin is not None:
         return
     if attempt.server_id:
-        item.origin = ingress.StreamOrigin(item.service.name, attempt.version)
+        if attempt.version is not None:
+            item.origin = ingress.StreamOrigin(item.service.name, attempt.version)
         return
     item.origin = told
     if told is not None and st.table is not None:
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -88,7 +88,9 @@
         """Send the request to a backend server."""
         record = effect.server
         self._is_relaying = False
-        self._origin = ingress.StreamOrigin(record.service, record.version)
+        self._origin = None
+        if effect.is_start_known:
+            self._origin = ingress.StreamOrigin(record.service, record.version)
         fields = self._wire.fields_for_server(self.head, effect, self._last_event_id)
         self._send(
             effect,
