Kept connections follow the limits in force

Callers with a connection from before a configuration that raised max_body_bytes got 413 for bodies within the new limit, and aren't expected to come back: a connection took the limits over as it was opened. They are read for each request now, the head's too, and the idle time after each answer.

What else a connection takes over as it is opened: nothing by reading but the buffer bound, which doesn't change.

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -123,6 +123,8 @@
             random_state,
             self._gateway.post,
         )
+        self._limits: tuple[ingress.RoutingTable | None, settings.EdgeSettings] | None
+        self._limits = None
         self._stopping_since_s: float | None = None
         self._is_stop_requested = False
         self._is_reload_requested = False
@@ -174,7 +176,13 @@
         return ports
 
     def _caller_limits(self) -> settings.EdgeSettings:
+        """Return the limits in force, the same object while the table is the same."""
         table = self._node.state.table
+        if self._limits is None or self._limits[0] is not table:
+            self._limits = (table, self._limits_of(table))
+        return self._limits[1]
+
+    def _limits_of(self, table: ingress.RoutingTable | None) -> settings.EdgeSettings:
         limits = table.limits if table else ingress.CallerLimits()
         unused_address = ("", 0)
         return settings.EdgeSettings(
--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 
 import h11
 from werkzeug import http
@@ -68,6 +69,9 @@
     owner : connection_owner.Owner
     read_head : Callable
         Parses a request's head for the interface that is served.
+    read_cfg : Callable or None
+        Returns the settings in force, which hold from the next request on; None if
+        `cfg` always holds.
     """
 
     def __init__(
@@ -81,12 +85,14 @@
         body_limit: limits.ByteLimit,
         owner: connection_owner.Owner,
         read_head: request_reader.ReadHead = routes.read_head,
+        read_cfg: Callable[[], settings.EdgeSettings] | None = None,
     ):
         self.address = address
         self.is_relay = is_relay
         self.phase = Phase.HEAD
         self._sock = sock
         self._cfg = cfg
+        self._read_cfg = read_cfg
         self._selector = selector
         self._timer_queue = timer_queue
         self._owner = owner
@@ -188,6 +194,20 @@
         self._reader.drop()
         self._owner.on_closed(self)
 
+    def _apply_settings(self) -> None:
+        """Let the settings in force hold for the next request."""
+        if self._read_cfg is None:
+            return
+        before, self._cfg = self._cfg, self._read_cfg()
+        if self._cfg is before:
+            return
+        is_between = not self._http.trailing_data[0]
+        if is_between and self._cfg.max_head_bytes != before.max_head_bytes:
+            self._http = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=self._cfg.max_head_bytes
+            )
+        self._reader.apply_settings(self._http, self._cfg)
+
     def _has_received_nothing(self) -> bool:
         return self.phase is Phase.HEAD and not self._http.trailing_data[0]
 
@@ -203,6 +223,8 @@
             return
         if self.phase is Phase.LINGERING:
             return
+        if self.phase is Phase.IDLE or self._has_received_nothing():
+            self._apply_settings()
         self._http.receive_data(data)
         if self.phase is Phase.IDLE:
             self.phase = Phase.HEAD
@@ -283,6 +305,7 @@
             return
         self._http.start_next_cycle()
         self._reader.begin_next()
+        self._apply_settings()
         self.phase = Phase.IDLE
         self._set_timer(self._cfg.idle_deadline_s, self.close)
         if self._http.trailing_data[0]:
--- a/packages/transport/bilberryridge/transport/ingress/port.py
+++ b/packages/transport/bilberryridge/transport/ingress/port.py
@@ -84,6 +84,7 @@
             self._body_limit,
             self,
             self._read_head,
+            self._cfg,
         )
         self._conns[conn] = None
         if self._is_draining:
--- a/packages/transport/bilberryridge/transport/request_reader.py
+++ b/packages/transport/bilberryridge/transport/request_reader.py
@@ -113,6 +113,11 @@
             return Step.CLOSED
         return Step.MORE_NEEDED
 
+    def apply_settings(self, http: h11.Connection, cfg: settings.EdgeSettings) -> None:
+        """Read the next request with another parser and other limits."""
+        self._http = http
+        self._cfg = cfg
+
     def take_request(self) -> ReceivedRequest:
         """Return the complete request and its reservation, after `Step.END`."""
         received = ReceivedRequest(self.head, bytes(self._body), self._reservation)
