Connections to servers are not paused for the next request

A caller that read slowly paused the connection to the server; if the answer ended in the same turn, the connection went back to the pool paused, so the next request there was never read and ended at its deadline. The end of an answer resumes it. Seen by the review by reading; the new test fails before: the second request gets no answer in 2 s.

--- a/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
@@ -125,3 +125,41 @@
     assert sink.is_complete
     assert b"".join(sink.pieces) == b"x" * 2_000
     assert len(turns) >= 2_000 / upstream.MAX_EVENTS_PER_TURN
+
+
+class SlowSink(Sink):
+    """Pauses the connection with each piece, as a slow caller makes it."""
+
+    def on_body(self, data):
+        super().on_body(data)
+        self.conn.pause()
+
+
+def test_issue_45_connection_paused_at_an_answers_end_serves_the_next_request():
+    answer = HEAD + b"Content-Length: 2\r\n\r\nok"
+
+    def serve(listener):
+        sock, _ = listener.accept()
+        with sock, contextlib.suppress(OSError):
+            while sock.recv(65_536):
+                sock.sendall(answer)
+
+    with (
+        event_loop.open_loop() as loop,
+        socket.create_server(("127.0.0.1", 0)) as listener,
+    ):
+        threading.Thread(target=serve, args=(listener,), daemon=True).start()
+        pool = connection_pool.Pool(loop)
+        conns = []
+        for _ in range(2):
+            sink = SlowSink()
+            fields = (("Host", "h"),)
+            address = listener.getsockname()
+            sink.conn = pool.send_request(address, "GET", "/", fields, b"", sink)
+            conns.append(sink.conn)
+            end_s = loop.now_s() + 2.0
+            while not sink.is_complete and loop.now_s() < end_s:
+                loop.run_once()
+            assert sink.is_complete
+        pool.close()
+    assert conns[0] is conns[1]
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -432,6 +432,8 @@
             and not self._outgoing
         )
         if is_reusable:
+            # The next request's receiver is another.
+            self.resume()
             self._http.start_next_cycle()
             self._n_skipped = 0
             self._owner.on_idle(self)
