Logs and metrics: attempts without an answer when one was expected

On call could see a replaced attempt (cancel, then a send after 'silent') but not one that goes on: one line and a counter say so. Tests of the daemon and transport pass.

--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -109,6 +109,7 @@
     _counter("ingress_sends", "Attempts sent.", "way"),
     _counter("ingress_attempts", "Attempts that ended.", "result"),
     _counter("ingress_streams_cut", "Streams that could not be finished."),
+    _counter("ingress_silent_attempts", "Attempts without an answer when expected."),
     _counter("ingress_probes", "Connections opened to test a path to a server."),
     _counter(
         "ingress_take_ups",
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -194,6 +194,9 @@
     def _handle(self, event: events.Event) -> None:
         if isinstance(event, events.AttemptEnded):
             self._log_ended(event)
+        elif isinstance(event, events.AttemptSilent):
+            self._counters.count("ingress_silent_attempts")
+            self._log("attempt silent", event.request_id, {"attempt": event.attempt_id})
         for effect in self.node.handle(self._loop.now_s(), event):
             self._effect_handlers[type(effect)](effect)
         if isinstance(event, events.AttemptEnded | events.CallerGone):
