--- a/packages/core/bilberryridge/core/ingress.py
+++ b/packages/core/bilberryridge/core/ingress.py
@@ -57,6 +57,11 @@
         Regions that may serve it; empty for all.
     is_resumable : bool
         Whether a stream may be resumed at another backend server.
+    is_public : bool
+        Whether requests need no key where the table names organisations.
+    max_event_gap_s : float or None
+        Longest pause between two events of a stream that is still on time; None if
+        the operator names none.
     """
 
     name: str
@@ -70,6 +75,8 @@
     max_attempts: int = 1
     allowed_regions: frozenset[str] = frozenset()
     is_resumable: bool = False
+    is_public: bool = False
+    max_event_gap_s: float | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -137,9 +144,81 @@
     idle_timeout_s: float = 15.0
 
 
+class AllotmentUnit(enum.Enum):
+    """What an allotment counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+@attrs.frozen
+class Allotment:
+    """What an organisation may use, over all daemons together.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        In units a second.
+    burst : float
+        Units that may be used at once after a time without use.
+    unit : AllotmentUnit
+    n_plain_tokens : int
+        Tokens that a request counts for if it doesn't state its own number.
+
+    Examples
+    --------
+    >>> allotment = Allotment(1e6, 1e6, AllotmentUnit.TOKENS, n_plain_tokens=200)
+    >>> allotment.cost(12_400), allotment.cost(None)
+    (12400.0, 200.0)
+    >>> Allotment(10.0, 20.0).cost(12_400)
+    1.0
+    """
+
+    rate_per_s: float
+    burst: float
+    unit: AllotmentUnit = AllotmentUnit.REQUESTS
+    n_plain_tokens: int = 1
+
+    def cost(self, n_stated_tokens: int | None) -> float:
+        """Return the units that a request counts for."""
+        if self.unit is AllotmentUnit.REQUESTS:
+            return 1.0
+        return float(
+            self.n_plain_tokens if n_stated_tokens is None else n_stated_tokens
+        )
+
+
+@attrs.frozen
+class Organisation:
+    """Callers that share keys, an allotment and allowed regions.
+
+    Parameters
+    ----------
+    name : str
+    key_digests : frozenset of bytes
+        SHA-256 of each of its keys; the keys themselves are not kept.
+    allowed_regions : frozenset of str
+        Regions that may serve it; empty for all.
+    priority : int or None
+        Takes precedence over the priority of the route; None if it has none.
+    allotment : Allotment or None
+        None for no limit.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = attrs.field(default=frozenset(), repr=False)
+    allowed_regions: frozenset[str] = frozenset()
+    priority: int | None = None
+    allotment: Allotment | None = None
+
+    def allows(self, region: str) -> bool:
+        """Return whether backend servers of a region may serve the organisation."""
+        return not self.allowed_regions or region in self.allowed_regions
+
+
 @attrs.frozen
 class RoutingTable:
-    """One version of the routes and services.
+    """One version of the routes, services and organisations.
 
     Parameters
     ----------
@@ -148,6 +227,8 @@
     routes : tuple of Route
     services : mapping of str to Service
     limits : CallerLimits
+    organisations : tuple of Organisation
+        Empty if requests need no key.
 
     Examples
     --------
@@ -164,7 +245,9 @@
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits = CallerLimits()
+    organisations: tuple[Organisation, ...] = ()
     _by_host: dict[str, list[Route]] = attrs.field(init=False, repr=False, eq=False)
+    _by_key: dict[bytes, Organisation] = attrs.field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         """Sort the routes of each host by the length of the prefix, longest first."""
@@ -172,6 +255,16 @@
         for route in sorted(self.routes, key=lambda r: -len(r.path_prefix)):
             by_host.setdefault(route.host, []).append(route)
         object.__setattr__(self, "_by_host", by_host)
+        by_key = {
+            digest: organisation
+            for organisation in self.organisations
+            for digest in organisation.key_digests
+        }
+        object.__setattr__(self, "_by_key", by_key)
+
+    def organisation_of_key(self, key_digest: bytes) -> Organisation | None:
+        """Return the organisation that holds a key; None if no organisation does."""
+        return self._by_key.get(key_digest)
 
     def routes_for_host(self, host: str) -> list[Route]:
         """Return the routes of a host, the longest prefix first."""
@@ -352,6 +445,11 @@
         Of the stream that it continues; None for a new one, or while it is unknown.
     n_received_events : int
         Events that the caller already has of that stream, as far as known.
+    key_digest : bytes
+        SHA-256 of the caller's key; empty if it sent none that is well-formed.
+    n_stated_tokens : int or None
+        Prompt and answer tokens for which the request counts in an allotment; None if
+        the caller states none.
     """
 
     id: str
@@ -367,3 +465,5 @@
     taken_up_id: str = ""
     origin: StreamOrigin | None = None
     n_received_events: int = 0
+    key_digest: bytes = attrs.field(default=b"", repr=False)
+    n_stated_tokens: int | None = None
--- a/packages/core/bilberryridge/core/outcomes.py
+++ b/packages/core/bilberryridge/core/outcomes.py
@@ -50,6 +50,8 @@
     PROMPT_HELD_BACK = "prompt-held-back"
     REQUEST_HELD_BACK = "request-held-back"
     STREAM_ORIGIN_UNKNOWN = "stream-origin-unknown"
+    OVER_ALLOTMENT = "over-allotment"
+    CONFIGURATION_UNPROVEN = "configuration-unproven"
 
 
 STATUS_BY_REASON = {
@@ -78,6 +80,8 @@
     Reason.PROMPT_HELD_BACK: 503,
     Reason.REQUEST_HELD_BACK: 503,
     Reason.STREAM_ORIGIN_UNKNOWN: 503,
+    Reason.OVER_ALLOTMENT: 429,
+    Reason.CONFIGURATION_UNPROVEN: 503,
 }
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -41,6 +41,10 @@
         Most tokens that the request asks for; 0 if not known.
     is_start_known : bool
         Whether the server is surely of the version that `server` tells.
+    organisation : str or None
+        Name to send in place of the caller's credentials; empty to send none. None
+        where the routing table names no organisations, so that the caller's fields are
+        forwarded as they are.
     log_fields : mapping
         Inputs of the decision, for the log.
     """
@@ -58,6 +62,7 @@
     fetch_from: str = ""
     n_answer_tokens: int = 0
     is_start_known: bool = True
+    organisation: str | None = None
 
 
 @attrs.frozen
@@ -81,6 +86,9 @@
         As in `SendToServer`.
     origin : StreamOrigin or None
         What alone can continue the stream; None for a new one.
+    key_digest : bytes or None
+        Digest of the caller's key, forwarded in place of its credentials; empty for
+        none. None where the routing table names no organisations.
     """
 
     request_id: str
@@ -94,6 +102,7 @@
     log_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
     n_answer_tokens: int = 0
     origin: ingress.StreamOrigin | None = None
+    key_digest: bytes | None = attrs.field(default=None, repr=False)
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -196,7 +196,7 @@
     if item.req.is_relayed or region in item.tried_regions:
         return None
     servers = _of_origin(item, st.servers.beyond_reach(item.service.name, now_s))
-    if not servers or not item.route.allows(region):
+    if not servers or not item.allows(region):
         return None
     entries = [
         entry
@@ -251,7 +251,7 @@
     now_s: float,
 ) -> ServerChoice | None:
     """Return the best of the usable servers of this region."""
-    if not item.route.allows(st.cfg.local_entry.region):
+    if not item.allows(st.cfg.local_entry.region):
         return None
     candidates = _candidates(st, item, usable, now_s)
     if not candidates:
@@ -423,7 +423,7 @@
             and entry.name not in view.loads.cut_off
             and _is_untried(st, item, entry, now_s)
         ]
-        if region in item.tried_regions or not entries or not item.route.allows(region):
+        if region in item.tried_regions or not entries or not item.allows(region):
             continue
         if item.origin is not None and not st.versions.serves(region, item.origin):
             continue
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -7,6 +7,7 @@
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
+    access,
     crash_handlers,
     effects,
     events,
@@ -121,6 +122,12 @@
     if service is None:
         _refuse_take_up(st, req)
         return
+    organisation = access.check(st, req, route, now_s)
+    if isinstance(organisation, access.Denial):
+        denial = organisation
+        log_fields = {"route": route.name, **denial.log_fields}
+        _refuse_on_arrival(st, req, denial.reason, log_fields, denial.retry_after_s)
+        return
     waited_s = _waited_s(st, route, req)
     caller_timeout_s = min(req.caller_timeout_s, route.timeout_s)
     item = state.OpenRequest(
@@ -132,6 +139,7 @@
         waited_s,
         origin=req.origin,
         n_events=req.n_received_events if req.origin else 0,
+        organisation=organisation,
     )
     st.open_requests[req.id] = item
     _place(st, item, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -117,7 +117,7 @@
             attempt.id,
             record,
             item.deadline_s - now_s,
-            item.route.priority,
+            item.priority,
             item.route.kind is ingress.RequestKind.STREAM,
             not item.route.is_repeatable,
             _first_byte_timeout_s(item, expected.first_s, now_s),
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -39,6 +39,12 @@
         Region of each failure domain of the deployment.
     retry_ratio, retry_slack, retry_window_s : float
         Limit of retries to a service by all daemons together; see `RetryBudget`.
+    revocation_bound_s : float or None
+        Time after which no request with a revoked key may be accepted any more; None
+        if the deployment sets no such bound.
+    allotment_window_s, allotment_overshoot, allotment_slack : float
+        In any window, an organisation's requests may exceed its allotment by the
+        fraction `allotment_overshoot` and by `allotment_slack` units.
     """
 
     local_entry: ingress.EntryVm
@@ -46,6 +52,10 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    revocation_bound_s: float | None = None
+    allotment_window_s: float = 8.0
+    allotment_overshoot: float = 0.1
+    allotment_slack: float = 0.0
 
     @property
     def local_domains(self) -> frozenset[str]:
@@ -138,6 +148,8 @@
         Events of the stream that the caller has.
     attempt : Attempt or None
         The open attempt.
+    organisation : Organisation or None
+        The organisation that holds the caller's key; None where none is needed.
     tried_servers, tried_peers, tried_regions : set of str
         Servers, daemons and regions that were sent the request already.
     """
@@ -163,14 +175,27 @@
     origin: ingress.StreamOrigin | None = None
     n_events: int = 0
     attempt: Attempt | None = None
+    organisation: ingress.Organisation | None = None
     tried_servers: set[str] = attrs.field(factory=set)
     tried_peers: set[str] = attrs.field(factory=set)
     tried_regions: set[str] = attrs.field(factory=set)
 
     @property
     def is_urgent(self) -> bool:
-        """Whether the route has the highest priority."""
-        return self.route.priority == 0
+        """Whether it has the highest priority."""
+        return self.priority == 0
+
+    @property
+    def priority(self) -> int:
+        """The organisation's priority if it has one, else the route's; 0 is highest."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
+    def allows(self, region: str) -> bool:
+        """Return whether backend servers of a region may serve the request."""
+        is_allowed = self.organisation is None or self.organisation.allows(region)
+        return is_allowed and self.route.allows(region)
 
     @property
     def is_continuing(self) -> bool:
