--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -124,12 +124,17 @@
 
     Parameters
     ----------
-    n_running, n_waiting, n_slots : int
+    n_running, n_waiting, n_slots : int or None
+        None where the server's figure can't be right.
+    pace : float or None
+        How long work takes there at this moment, as a multiple of the usual; None if
+        the server doesn't say so.
     """
 
-    n_running: int
-    n_waiting: int
-    n_slots: int
+    n_running: int | None
+    n_waiting: int | None
+    n_slots: int | None
+    pace: float | None = None
 
 
 @attrs.frozen
@@ -149,6 +154,7 @@
     brittle_per_s : float or None
         Requests turned away within a second beyond which it falls over; None if it
         doesn't say so.
+    load : ServerLoad or None
     """
 
     request_id: str
@@ -157,6 +163,7 @@
     asked_s: float | None = None
     limit_per_s: float | None = None
     brittle_per_s: float | None = None
+    load: ServerLoad | None = None
 
 
 @attrs.frozen
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -146,6 +146,7 @@
                     self.head.asked_s,
                     self.head.limit_per_s,
                     self.head.brittle_per_s,
+                    self.head.load,
                 )
             )
         if self.head.kind is dialect.AnswerKind.UNVERIFIED:
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -315,7 +315,10 @@
             "took_s": round(event.took_s, 3),
         }
         if event.load is not None:
-            log_fields["load"] = list(attrs.astuple(event.load))
+            load = event.load
+            log_fields["load"] = [load.n_running, load.n_waiting, load.n_slots]
+            if load.pace is not None:
+                log_fields["stated_pace"] = load.pace
         if event.limit_per_s is not None:
             log_fields["limit_per_s"] = event.limit_per_s
         if event.detail:
