Pace of servers: placement by the momentary and the lasting pace

Cause: servers that share their machines take 2.5 times as long for 0.6 s at a time, and some are slower for good. The daemon knew only an average of its last seven answers, so a dip moved work for seconds after its end, and slow engines were the first choice for as many shared prompt parts as fast ones.

Change: server_pace.ServerPace keeps the latest statement (own answer or a neighbour's report) with its age and the lasting pace, a median over half seconds. Estimates use the mean over the duration of the work; prompts with shared parts use the lasting pace. The measured slowdown is learnt as what the pace leaves unexplained. Shared parts are ranked by weighted rendezvous hashing. ServerShare gets two optional trailing fields. Servers that state no pace are ranked and estimated as before. The load model has servers of unequal pace (ingress_play.uneven).

--- a/packages/decisions/bilberryridge/decisions/ingress/estimates.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/estimates.py
@@ -50,6 +50,8 @@
         Prompt tokens fetched from another server's cache.
     silent_s : float
         The part of `first_s` for which the server has been silent, as it may go on so.
+    pace : float
+        Pace of the server that the estimate rests on.
     """
 
     first_s: float
@@ -59,6 +61,7 @@
     stream_s: float = 0.0
     n_fetched_tokens: int = 0
     silent_s: float = 0.0
+    pace: float = 1.0
 
 
 def n_tokens_ahead(n_pending: int, n_urgent: int, is_urgent: bool) -> float:
@@ -101,7 +104,10 @@
     """
     total = server.work.sums
     if engine is None or prompt is None:
-        return _with_silence(_at_plain(server, total, is_urgent), server, now_s)
+        expected = _at_momentary_pace(
+            _at_plain(server, total, is_urgent), server, now_s
+        )
+        return _with_silence(expected, server, now_s)
     n_cached_tokens = server.cache.n_cached_tokens(prompt.parts)
     n_fetched = n_fetchable - n_cached_tokens
     if n_fetched < MIN_FETCHED_TOKENS:
@@ -117,10 +123,39 @@
     if n_fetched:
         first_s += FETCH_SETUP_S + n_fetched * FETCH_S_PER_TOKEN
     stream_s = prompt.n_answer_tokens * server.inter_token_s(now_s)
-    expected = Estimate(first_s, queue_s, n_prefill, prefill_s, stream_s, n_fetched)
+    expected = Estimate(
+        first_s,
+        queue_s,
+        n_prefill,
+        prefill_s,
+        stream_s,
+        n_fetched,
+        pace=server.pace.lasting,
+    )
+    if not prompt.shared_parts:
+        # Shared parts don't move for a moment: reading them again costs more.
+        expected = _at_momentary_pace(expected, server, now_s)
     return _with_silence(expected, server, now_s)
 
 
+def _at_momentary_pace(
+    expected: Estimate, server: server_table.ServerState, now_s: float
+) -> Estimate:
+    """Return an estimate by the lasting pace as one by the pace while it is served."""
+    lasting = server.pace.lasting
+    pace = server.pace.average(expected.first_s + expected.stream_s, now_s)
+    if pace == lasting or expected.queue_s == FULL_QUEUE_S:
+        return expected
+    factor = pace / lasting
+    return attrs.evolve(
+        expected,
+        first_s=expected.first_s * factor,
+        queue_s=expected.queue_s * factor,
+        prefill_s=expected.prefill_s * factor,
+        pace=pace,
+    )
+
+
 def _with_silence(
     expected: Estimate, server: server_table.ServerState, now_s: float
 ) -> Estimate:
@@ -150,7 +185,7 @@
     n_slots = max(1, server.record.n_slots)
     work_s = PLAIN_WORK_S * server.slowdown(is_urgent)
     if total.n_open >= n_slots * (1 + PLAIN_QUEUE_PER_SLOT):
-        return Estimate(FULL_QUEUE_S, FULL_QUEUE_S)
+        return Estimate(FULL_QUEUE_S, FULL_QUEUE_S, pace=server.pace.lasting)
     n_ahead = max(0, total.n_open + 1 - n_slots)
     queue_s = work_s * n_ahead / n_slots
-    return Estimate(work_s + queue_s, queue_s)
+    return Estimate(work_s + queue_s, queue_s, pace=server.pace.lasting)
--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -44,6 +44,11 @@
         Whether an answer since the last message names that limit.
     n_limit_unnamed : int
         Answers since then, and since that one, that name no limit.
+    stated_pace : float or None
+        Pace that the server has stated to the daemon since the last message; None if
+        it has stated none.
+    pace_age_s : float
+        How long ago.
     """
 
     n_open: int = 0
@@ -62,6 +67,8 @@
     n_reached: int = 0
     is_limit_named: bool = False
     n_limit_unnamed: int = 0
+    stated_pace: float | None = None
+    pace_age_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/open_work.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/open_work.py
@@ -26,6 +26,8 @@
     sent_s, expected_s : float
         When it was sent, and the estimated time to its first byte.
     has_begun : bool
+    pace : float
+        Pace of the server by which `expected_s` was estimated.
     """
 
     n_pending_tokens: int
@@ -34,6 +36,7 @@
     sent_s: float
     expected_s: float
     has_begun: bool = False
+    pace: float = 1.0
 
 
 @attrs.define
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -8,6 +8,7 @@
     open_work,
     placement,
     server_limit,
+    server_table,
     state,
     take_ups,
 )
@@ -81,6 +82,7 @@
         item.is_urgent,
         now_s,
         expected.first_s - expected.silent_s,
+        pace=expected.pace,
     )
     server.record_sent((item.req.id, attempt.id), open_attempt, now_s)
     if prompt is not None and item.service.engine is not None:
@@ -103,6 +105,7 @@
         "reading": round(server.prefill.fraction(now_s), 2),
         "fault": round(server.failure_rate(now_s), 2),
         "server_version": record.version,
+        **_pace_fields(server, expected.pace, now_s),
         **_repeat_fields(item),
         **take_ups.log_fields(item.req),
     }
@@ -130,6 +133,21 @@
     )
 
 
+def _pace_fields(
+    server: server_table.ServerState, used_pace: float, now_s: float
+) -> dict[str, Any]:
+    """Return the pace that an estimate used, and what it rests on."""
+    statement = server.pace.statement
+    if statement is None:
+        return {}
+    return {
+        "used_pace": round(used_pace, 2),
+        "lasting_pace": round(server.pace.lasting, 2),
+        "pace_from": statement.source,
+        "pace_age_s": round(server.pace.age_s(now_s), 2),
+    }
+
+
 def _repeat_fields(item: state.OpenRequest) -> dict[str, Any]:
     """Return why a request is sent again, and how often the budget was asked."""
     if not item.last_result:
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -15,6 +15,7 @@
     prefix_cache_model,
     server_availability,
     server_limit,
+    server_pace,
     server_path,
     server_room,
     server_words,
@@ -57,6 +58,8 @@
     "n_reached",
     "is_limit_named",
     "n_limit_unnamed",
+    "stated_pace",
+    "pace_age_s",
 )
 """Fields of a share that tell what has happened since the message before."""
 _NO_COUNTS: dict[str, Any] = {
@@ -82,10 +85,10 @@
     last_reported : ServerShare
         This daemon's share as last reported to other daemons.
     urgent_slowdown, other_slowdown : float
-        Measured time to the first token relative to the estimate, for urgent and for
-        other requests.
+        Measured time to the first token relative to the estimate by the server's pace,
+        for urgent and for other requests.
     inter_token_slowdown : float
-        Measured time between tokens relative to the estimate.
+        Measured time between tokens relative to the estimate by its pace.
     n_sent_tokens : int
         Prompt tokens that this daemon sent there for prefill since its start.
     prefill : PrefillLoad
@@ -93,6 +96,7 @@
     path : ServerPath
     limit : ServerLimit
     room : ServerRoom
+    pace : ServerPace
     heard_s : float
         When it last began an answer to this daemon.
     lost_elsewhere_s : float
@@ -130,6 +134,7 @@
     path: server_path.ServerPath = attrs.field(factory=server_path.ServerPath)
     limit: server_limit.ServerLimit = attrs.field(factory=server_limit.ServerLimit)
     room: server_room.ServerRoom = attrs.field(factory=server_room.ServerRoom)
+    pace: server_pace.ServerPace = attrs.field(factory=server_pace.ServerPace)
     heard_s: float = -math.inf
     lost_elsewhere_s: float = -math.inf
     reached_elsewhere_s: float = -math.inf
@@ -149,11 +154,14 @@
         )
 
     def slowdown(self, is_urgent: bool) -> float:
-        """Return the measured time to the first token relative to the estimate.
+        """Return the lasting time to the first token relative to the estimate.
 
         It is measured separately for requests that are not urgent, which are also
         delayed by urgent requests that arrive after them.
         """
+        return self.pace.lasting * self._measured_slowdown(is_urgent)
+
+    def _measured_slowdown(self, is_urgent: bool) -> float:
         return self.urgent_slowdown if is_urgent else self.other_slowdown
 
     def local_failure_rate(self, now_s: float) -> float:
@@ -185,10 +193,11 @@
             if self._is_silence_counted:
                 return took_s
             self._is_silence_counted = True
-        before = self.slowdown(attempt.is_urgent)
-        ratio = min(
-            MAX_SLOWDOWN, max(MIN_SLOWDOWN, took_s / attempt.expected_s * before)
-        )
+        before = self._measured_slowdown(attempt.is_urgent)
+        # What the server has stated since explains a part of the time.
+        explained = self.pace.average(took_s, now_s) / attempt.pace
+        ratio = took_s / (attempt.expected_s * explained) * before
+        ratio = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, ratio))
         after = before + SLOWDOWN_GAIN * (ratio - before)
         if attempt.is_urgent:
             self.urgent_slowdown = after
@@ -220,9 +229,8 @@
 
     def inter_token_s(self, now_s: float) -> float:
         """Return the estimated time between two tokens of a stream."""
-        return self.inter_token_slowdown * prefill_load.inter_token_s(
-            self.prefill.fraction(now_s)
-        )
+        slowdown = self.pace.lasting * self.inter_token_slowdown
+        return slowdown * prefill_load.inter_token_s(self.prefill.fraction(now_s))
 
     def record_stream(self, stream_s: float, n_tokens: int, now_s: float) -> None:
         """Update `inter_token_slowdown` from a stream's time after its first event."""
@@ -232,6 +240,7 @@
             stream_s
             / n_tokens
             / prefill_load.inter_token_s(self.prefill.fraction(now_s))
+            / self.pace.average(stream_s, now_s)
         )
         ratio = min(MAX_INTER_TOKEN_SLOWDOWN, max(MIN_INTER_TOKEN_SLOWDOWN, ratio))
         self.inter_token_slowdown += INTER_TOKEN_GAIN * (
@@ -269,7 +278,7 @@
         )
 
     def with_counts(
-        self, share: load_messages.ServerShare
+        self, share: load_messages.ServerShare, now_s: float
     ) -> load_messages.ServerShare:
         """Return a share with what has happened since the last load report."""
         counts: dict[str, Any] = {
@@ -279,6 +288,9 @@
             "is_limit_named": self.limit.is_naming_unreported,
             "n_limit_unnamed": self.limit.n_unnamed_unreported,
         }
+        if self.pace.is_unreported and self.pace.statement is not None:
+            counts["stated_pace"] = self.pace.statement.pace
+            counts["pace_age_s"] = round(self.pace.age_s(now_s), 3)
         return attrs.evolve(share, **counts) if any(counts.values()) else share
 
     def clear_counts(self) -> None:
@@ -289,6 +301,7 @@
         self.limit.n_unnamed_unreported = 0
         self.room.n_unreported = 0
         self.n_reached_unreported = 0
+        self.pace.is_unreported = False
 
     @property
     def has_own_word(self) -> bool:
@@ -391,18 +404,31 @@
         """Return the position of each of the service's servers for a key, from 0.
 
         The order is by rendezvous hashing, hence the same at all daemons with the same
-        registered servers.
+        registered servers and lasting paces. A server is first for a part of the keys
+        by its lasting pace.
         """
         ranks = self._ranks.get((service, key))
         if ranks is None:
             if len(self._ranks) >= MAX_RANKINGS:
                 self._ranks.clear()
-            names = [server.record.id for server in self.servers_of(service)]
-            ranked = rendezvous.ranked(key, names)
+            weights = {
+                server.record.id: 1 / server.pace.part_pace
+                for server in self.servers_of(service)
+            }
+            is_even = all(weight == 1.0 for weight in weights.values())
+            ranked = (
+                rendezvous.ranked(key, weights)
+                if is_even
+                else rendezvous.ranked_by_weight(key, weights)
+            )
             ranks = {name: index for index, name in enumerate(ranked)}
             self._ranks[service, key] = ranks
         return ranks
 
+    def forget_ranks(self) -> None:
+        """Rank the servers anew, as the lasting pace of one has changed."""
+        self._ranks.clear()
+
     def usable(self, service: str, now_s: float) -> list[ServerState]:
         """Return the service's servers that may be sent requests from here."""
         return [
@@ -472,6 +498,11 @@
             if share.parts:
                 parts = (ingress.PromptPart(*part) for part in share.parts)
                 server.cache.add(parts, now_s)
+            if share.stated_pace is not None:
+                stated_s = now_s - max(0.0, share.pace_age_s)
+                source = server_pace.Source.NEIGHBOUR
+                if server.pace.record(share.stated_pace, stated_s, now_s, source):
+                    self.forget_ranks()
             share = _without_counts(share)
             if 0 < share.leaving_start_ms == server.record.start_time_ms:
                 server.availability.record_leaving()
@@ -486,7 +517,7 @@
         changed = {}
         for server_id, server in self.by_id.items():
             share = server.local_share(tuple(server.new_parts), now_s)
-            share = server.with_counts(share)
+            share = server.with_counts(share, now_s)
             if share == server.last_reported:
                 continue
             changed[server_id] = share
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -26,6 +26,9 @@
         return
     server.record_heard(now_s)
     crash_handlers.on_server_said(st, server, now_s)
+    stated_pace = event.load.pace if event.load is not None else None
+    if stated_pace is not None and server.pace.record(stated_pace, now_s, now_s):
+        st.servers.forget_ranks()
     said_to = item.req.caller_request_id
     if event.is_leaving and not server.availability.is_leaving:
         server.availability.record_leaving()
--- a/packages/decisions/bilberryridge/decisions/rendezvous.py
+++ b/packages/decisions/bilberryridge/decisions/rendezvous.py
@@ -4,11 +4,14 @@
 ----------
 D. Thaler and C. Ravishankar, Using Name-Based Mappings to Increase Hit Rates,
 IEEE/ACM Transactions on Networking 6(1), 1998.
+
+C. Schindelhauer and G. Schomaker, Weighted Distributed Hash Tables, SPAA 2005.
 """
 
 import hashlib
+import math
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 MASK = 0xFFFFFFFFFFFFFFFF
 MULTIPLIER_A = 0x9E3779B97F4A7C15
@@ -32,6 +35,25 @@
     return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
 
 
+def ranked_by_weight(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Rank names for a key so that each is first for a part of the keys by its weight.
+
+    With equal weights it is the order of `ranked`. A name whose weight changes moves
+    only keys to or from itself.
+
+    Examples
+    --------
+    >>> ranked_by_weight("desk", {"a": 2.0, "b": 2.0}) == ranked("desk", ["a", "b"])
+    True
+    """
+
+    def weighted(name: str) -> tuple[float, str]:
+        fraction = (score(key, name) + 0.5) / (MASK + 1)
+        return -weights[name] / math.log(fraction), name
+
+    return sorted(weights, key=weighted, reverse=True)
+
+
 def seed(name: str) -> int:
     """Return a hash of a name, for `fast_score`; the same in every process."""
     return zlib.crc32(name.encode()) << 16
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -134,6 +134,8 @@
             share.n_reached,
             share.is_limit_named,
             share.n_limit_unnamed,
+            share.stated_pace,
+            share.pace_age_s,
         ]
         for server_id, share in message.by_server.items()
     }
@@ -160,6 +162,7 @@
         n_open, n_pending, n_urgent, n_memory = (int(value) for value in share[:4])
         # Daemons of older builds tell seven, eight, ten or thirteen values.
         brittle_per_s, n_turned_away = share[11:13] if len(share) > 12 else (None, 0)
+        stated_pace, pace_age_s = share[16:18] if len(share) > 17 else (None, 0.0)
         leaving_start_ms = int(share[7]) if len(share) > 7 else 0
         limit_per_s, n_limited_sends = share[8:10] if len(share) > 9 else (None, 0)
         by_server[str(server_id)] = load_messages.ServerShare(
@@ -179,6 +182,8 @@
             int(share[13]) if len(share) > 13 else 0,
             bool(share[14]) if len(share) > 14 else False,
             int(share[15]) if len(share) > 15 else 0,
+            None if stated_pace is None else float(stated_pace),
+            float(pace_age_s),
         )
     # Daemons of older builds tell no streams.
     streams = _unpack_streams(fields[1]) if len(fields) > 1 else ()
--- a/packages/standins/bilberryridge/standins/ingress_play/callers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/callers.py
@@ -109,6 +109,17 @@
     ),
 )
 """Request mix of the same cooperative's grown deployment."""
+UNEVEN_GROUPS = (
+    attrs.evolve(GROUPS[0], traffic_weight=13.1, goal_s=0.85, caller_timeout_s=12.7),
+    attrs.evolve(GROUPS[1], traffic_weight=40.0, goal_s=0.6, caller_timeout_s=3.1),
+    attrs.evolve(
+        GROUPS[2], traffic_weight=13.3, goal_s=0.47, caller_timeout_s=6.2, work_s=0.037
+    ),
+    attrs.evolve(
+        GROUPS[3], traffic_weight=5.3, goal_s=0.47, caller_timeout_s=6.2, work_s=0.037
+    ),
+)
+"""Request mix of a deployment whose servers differ in pace."""
 
 
 @attrs.define(eq=False)
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -133,6 +133,7 @@
 
     def _send_to_server(self, effect: effects.SendToServer) -> None:
         call, _ = self._calls[effect.request_id]
+        server = self._servers_by_id[effect.server.id]
         key = (effect.request_id, effect.attempt_id)
         attempt = self._attempts[key] = _Attempt(self._event_loop.now_s)
         attempt.job = servers.Job(
@@ -140,11 +141,12 @@
             effect.priority,
             call.n_answer_tokens,
             call.work_s,
-            lambda: self._call_later(INTRA_REGION_DELAY_S, self._on_first, key),
+            lambda: self._call_later(
+                INTRA_REGION_DELAY_S, self._on_first, key, server.stated_load()
+            ),
             lambda: self._call_later(INTRA_REGION_DELAY_S, self._on_complete, key),
             self._prefix_source(effect.fetch_from),
         )
-        server = self._servers_by_id[effect.server.id]
         self._event_loop.after(INTRA_REGION_DELAY_S, lambda: self._deliver(server, key))
 
     def _prefix_source(self, address: str) -> servers.EngineModel | None:
@@ -209,12 +211,16 @@
     ) -> None:
         self._event_loop.after(delay_s, lambda: call(*arguments))
 
-    def _on_first(self, key: tuple[str, int]) -> None:
+    def _on_first(
+        self, key: tuple[str, int], load: node_events.ServerLoad | None = None
+    ) -> None:
         attempt = self._attempts.get(key)
         if attempt is None or key[0] not in self._calls:
             return
         call, listener = self._calls[key[0]]
         attempt.first_s = self._event_loop.now_s - attempt.sent_s
+        if load is not None:
+            self.handle(node_events.ServerSaid(*key, load=load))
         self.handle(node_events.AttemptBegan(*key, is_committed=call.is_stream))
         if call.is_stream:
             listener.on_first()
--- a/packages/standins/bilberryridge/standins/ingress_play/play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/play.py
@@ -8,7 +8,7 @@
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import events as node_events
 from bilberryridge.decisions.ingress import node, state
-from bilberryridge.standins.ingress_play import callers, daemons, servers
+from bilberryridge.standins.ingress_play import callers, daemons, paces, servers
 from bilberryridge.standins.queueing import events
 
 DRAIN_S = 15.0
@@ -62,6 +62,13 @@
     Region("ohio", 70, 10, 2, 183.0, 26.0),
 )
 """Large deployment of the same cooperative, with all of its daemons."""
+UNEVEN_REGIONS = (
+    Region("ontario", 8, 12, 3, 75.0, 0.0),
+    Region("michigan", 6, 8, 3, 56.0, 10.0),
+    Region("ohio", 4, 4, 3, 37.0, 22.0),
+)
+"""A sixth of a deployment whose servers differ in pace, with so many plain servers that
+a region has one of each pace."""
 
 
 @attrs.frozen
@@ -76,12 +83,15 @@
         Simulated time in which requests arrive.
     regions : tuple of Region
     groups : tuple of Group
+    unevenness : Unevenness or None
+        None if all servers work as fast as usual.
     """
 
     load_factor: float = 1.0
     length_s: float = 34.0
     regions: tuple[Region, ...] = REGIONS
     groups: tuple[callers.Group, ...] = callers.GROUPS
+    unevenness: paces.Unevenness | None = None
 
 
 def run(
@@ -101,7 +111,10 @@
     records = _records(load)
     last_used_s: dict[str, dict[str, float]] = {r.name: {} for r in load.regions}
     servers_by_id = {
-        r.id: _new_server(event_loop, r, last_used_s[r.domain]) for r in records
+        r.id: _new_server(
+            event_loop, r, last_used_s[r.domain], _pace(load, r, index, seed)
+        )
+        for index, r in enumerate(records)
     }
     daemons_by_name = _daemons(event_loop, load, servers_by_id, seed, choose)
     _connect_daemons(daemons_by_name, records, table_of(load.groups))
@@ -110,7 +123,7 @@
     outcomes = _schedule_arrivals(event_loop, load, daemons_by_name, seed)
     event_loop.run()
     engines = [s for s in servers_by_id.values() if isinstance(s, servers.EngineModel)]
-    return PlayResult(outcomes, engines)
+    return PlayResult(outcomes, engines, servers_by_id)
 
 
 @attrs.define
@@ -119,6 +132,7 @@
 
     outcomes: list[callers.Outcome]
     engines: list[servers.EngineModel]
+    servers_by_id: dict[str, servers.Server] = attrs.field(factory=dict)
 
     @property
     def earned_fraction(self) -> float:
@@ -162,10 +176,21 @@
     event_loop: events.Loop,
     record: ingress.BackendServer,
     last_used_s: dict[str, float],
+    pace: paces.Pace,
 ) -> servers.Server:
     if record.service == "model":
-        return servers.EngineModel(event_loop, servers.EngineSpeed(), last_used_s)
-    return servers.PlainModel(event_loop, record.n_slots)
+        return servers.EngineModel(event_loop, servers.EngineSpeed(), last_used_s, pace)
+    return servers.PlainModel(event_loop, record.n_slots, pace)
+
+
+def _pace(
+    load: Load, record: ingress.BackendServer, index: int, seed: int
+) -> paces.Pace:
+    if load.unevenness is None:
+        return paces.STEADY
+    random_state = random.Random(f"{seed}-pace-{record.id}")
+    length_s = load.length_s + DRAIN_S
+    return paces.Pace(load.unevenness, index, random_state, length_s)
 
 
 def table_of(groups: tuple[callers.Group, ...]) -> ingress.RoutingTable:
--- a/packages/standins/bilberryridge/standins/ingress_play/servers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/servers.py
@@ -10,6 +10,8 @@
 import attrs
 
 from bilberryridge.core import ingress
+from bilberryridge.decisions.ingress import events as node_events
+from bilberryridge.standins.ingress_play import paces
 from bilberryridge.standins.queueing import events
 
 MAX_WAITING = 192
@@ -67,6 +69,9 @@
     def accept(self, job: Job) -> bool:
         """Accept a job; return False if the queue is full."""
 
+    def stated_load(self) -> node_events.ServerLoad | None:
+        """Return the load that an answer states now; None if it states none."""
+
 
 @attrs.frozen
 class EngineSpeed:
@@ -106,12 +111,20 @@
     last_used_s : dict of str to float
         Time at which an engine of the region last used each prompt part; shared by all
         engines of the region.
+    pace : Pace
     """
 
     def __init__(
-        self, event_loop: events.Loop, speed: EngineSpeed, last_used_s: dict[str, float]
+        self,
+        event_loop: events.Loop,
+        speed: EngineSpeed,
+        last_used_s: dict[str, float],
+        pace: paces.Pace = paces.STEADY,
     ):
         self.speed = speed
+        self.pace = pace
+        self.busy_s = 0.0
+        self.n_accepted = 0
         self.n_recomputed_tokens = 0
         self.n_fetched_tokens = 0
         self._event_loop = event_loop
@@ -127,11 +140,19 @@
         """Accept a job; return False if the queue is full."""
         if len(self._waiting) >= MAX_WAITING:
             return False
+        self.n_accepted += 1
         heapq.heappush(self._waiting, (job.priority, next(self._numbers), job))
         if not self._is_stepping:
             self._step()
         return True
 
+    def stated_load(self) -> node_events.ServerLoad | None:
+        """See `Server`."""
+        n_running, n_waiting = len(self._running), len(self._waiting)
+        return _stated(
+            self._event_loop, self.pace, n_running, n_waiting, self.speed.n_slots
+        )
+
     def _step(self) -> None:
         self._running = [row for row in self._running if not row[2].is_over]
         self._admit()
@@ -145,6 +166,8 @@
         step_s = speed.step_s + speed.step_s_per_slot * len(decoding)
         step_s += speed.step_s_per_k_tokens * n_context / 1000
         step_s += n_prefilled_tokens / speed.prefill_tokens_per_s
+        step_s *= self.pace.at(self._event_loop.now_s)
+        self.busy_s += step_s
         self._event_loop.after(step_s, lambda: self._end_step(decoding))
 
     def _admit(self) -> None:
@@ -236,7 +259,12 @@
 class PlainModel:
     """A server with a fixed number of slots and a bounded queue."""
 
-    def __init__(self, event_loop: events.Loop, n_slots: int):
+    def __init__(
+        self, event_loop: events.Loop, n_slots: int, pace: paces.Pace = paces.STEADY
+    ):
+        self.pace = pace
+        self.busy_s = 0.0
+        self.n_accepted = 0
         self._event_loop = event_loop
         self._n_slots = n_slots
         self._n_running = 0
@@ -246,16 +274,24 @@
         """Accept a job; return False if the queue is full."""
         if len(self._waiting) >= MAX_PLAIN_WAITING:
             return False
+        self.n_accepted += 1
         self._waiting.append(job)
         self._start_next()
         return True
 
+    def stated_load(self) -> node_events.ServerLoad | None:
+        """See `Server`."""
+        n_running, n_waiting = self._n_running, len(self._waiting)
+        return _stated(self._event_loop, self.pace, n_running, n_waiting, self._n_slots)
+
     def _start_next(self) -> None:
         while self._waiting and self._n_running < self._n_slots:
             job = self._waiting.popleft()
             if not job.is_over:
                 self._n_running += 1
-                self._event_loop.after(job.work_s, lambda job=job: self._end(job))  # type: ignore[misc]
+                work_s = job.work_s * self.pace.at(self._event_loop.now_s)
+                self.busy_s += work_s
+                self._event_loop.after(work_s, lambda job=job: self._end(job))  # type: ignore[misc]
 
     def _end(self, job: Job) -> None:
         self._n_running -= 1
@@ -264,3 +300,16 @@
             job.on_first()
             job.on_end()
         self._start_next()
+
+
+def _stated(
+    event_loop: events.Loop,
+    pace: paces.Pace,
+    n_running: int,
+    n_waiting: int,
+    n_slots: int,
+) -> node_events.ServerLoad | None:
+    if not pace.is_stated:
+        return None
+    stated_pace = round(pace.at(event_loop.now_s), 2)
+    return node_events.ServerLoad(n_running, n_waiting, n_slots, stated_pace)
