Merge the pace of servers; pauses follow the momentary pace

A server that states that it is slowed for a moment makes its streams pause longer, so the estimate of a pause takes the pace over the next 0.4 s.

--- a/packages/decisions/bilberryridge/decisions/ingress/estimates.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/estimates.py
@@ -26,6 +26,9 @@
 """Initial estimate of the work of a plain service's request."""
 FULL_QUEUE_S = 5.0
 """Estimate for a plain server with a full queue, which rejects requests."""
+PAUSE_S = 0.4
+"""Time over which the momentary pace of a server counts for a pause of its streams: the
+shortest that deployments allow."""
 PLAIN_QUEUE_PER_SLOT = 3
 """Requests that a plain server queues per slot before it rejects further ones."""
 
@@ -53,6 +56,8 @@
     pause_s, pause_before_s : float
         Longest pause between two events of the streams that run there, with and without
         the request.
+    pace : float
+        Pace of the server that the estimate rests on.
     """
 
     first_s: float
@@ -64,6 +69,7 @@
     silent_s: float = 0.0
     pause_s: float = 0.0
     pause_before_s: float = 0.0
+    pace: float = 1.0
 
 
 def n_tokens_ahead(n_pending: int, n_urgent: int, is_urgent: bool) -> float:
@@ -106,7 +112,10 @@
     """
     total = server.work.sums
     if engine is None or prompt is None:
-        return _with_silence(_at_plain(server, total, is_urgent), server, now_s)
+        expected = _at_momentary_pace(
+            _at_plain(server, total, is_urgent), server, now_s
+        )
+        return _with_silence(expected, server, now_s)
     n_cached_tokens = server.cache.n_cached_tokens(prompt.parts)
     n_fetched = n_fetchable - n_cached_tokens
     if n_fetched < MIN_FETCHED_TOKENS:
@@ -129,22 +138,48 @@
         prefill_s,
         stream_s,
         n_fetched,
-        pause_s=_pause_s(total.n_pending_tokens + n_prefill, server, engine),
-        pause_before_s=_pause_s(total.n_pending_tokens, server, engine),
+        pause_s=_pause_s(total.n_pending_tokens + n_prefill, server, engine, now_s),
+        pause_before_s=_pause_s(total.n_pending_tokens, server, engine, now_s),
+        pace=server.pace.lasting,
     )
+    if not prompt.shared_parts:
+        # Shared parts don't move for a moment: reading them again costs more.
+        expected = _at_momentary_pace(expected, server, now_s)
     return _with_silence(expected, server, now_s)
 
 
+def _at_momentary_pace(
+    expected: Estimate, server: server_table.ServerState, now_s: float
+) -> Estimate:
+    """Return an estimate by the lasting pace as one by the pace while it is served."""
+    lasting = server.pace.lasting
+    pace = server.pace.average(expected.first_s + expected.stream_s, now_s)
+    if pace == lasting or expected.queue_s == FULL_QUEUE_S:
+        return expected
+    factor = pace / lasting
+    return attrs.evolve(
+        expected,
+        first_s=expected.first_s * factor,
+        queue_s=expected.queue_s * factor,
+        prefill_s=expected.prefill_s * factor,
+        pace=pace,
+    )
+
+
 def _pause_s(
-    n_pending_tokens: int, server: server_table.ServerState, engine: ingress.Engine
+    n_pending_tokens: int,
+    server: server_table.ServerState,
+    engine: ingress.Engine,
+    now_s: float,
 ) -> float:
     """Estimate the longest pause of running streams while prompts are prefilled.
 
     The engine prefills a chunk of the pending prompts in each decoding step, and an
     event takes several steps.
     """
-    slowdown = server.slowdown(True)
-    decode_s = prefill_load.DECODE_STEP_S * min(1.0, server.inter_token_slowdown)
+    pace = server.pace.average(PAUSE_S, now_s)
+    slowdown = server.slowdown(True) * pace / server.pace.lasting
+    decode_s = prefill_load.DECODE_STEP_S * pace * min(1.0, server.inter_token_slowdown)
     prefill_s = n_pending_tokens * slowdown / prefill_load.TOKENS_PER_S
     longest_s = engine.n_tokens_per_event * prefill_load.MIXED_STEP_S * slowdown
     return min(longest_s, engine.n_tokens_per_event * decode_s + prefill_s)
@@ -179,7 +214,7 @@
     n_slots = max(1, server.record.n_slots)
     work_s = PLAIN_WORK_S * server.slowdown(is_urgent)
     if total.n_open >= n_slots * (1 + PLAIN_QUEUE_PER_SLOT):
-        return Estimate(FULL_QUEUE_S, FULL_QUEUE_S)
+        return Estimate(FULL_QUEUE_S, FULL_QUEUE_S, pace=server.pace.lasting)
     n_ahead = max(0, total.n_open + 1 - n_slots)
     queue_s = work_s * n_ahead / n_slots
-    return Estimate(work_s + queue_s, queue_s)
+    return Estimate(work_s + queue_s, queue_s, pace=server.pace.lasting)
