Proof that the configuration is the newest, where revocation is bounded

Cause: a daemon that the store refuses, or that is cut off, accepted keys for as long as it heard of no newer configuration.

The daemon that follows the store for its failure domain reads the configuration alone, once a second; the others ask it, then other linked daemons, then read themselves. Answers are dated at the moment of asking, on a clock that counts suspensions. Without proof, requests with a key are refused as not run (configuration-unproven); public routes go on.

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -122,6 +122,7 @@
             self._links,
             random_state,
             self._gateway.post,
+            cfg.node.revocation_bound_s,
         )
         self._limits: tuple[ingress.RoutingTable | None, settings.EdgeSettings] | None
         self._limits = None
@@ -200,10 +201,17 @@
         if self._platform.is_ready_target(target):
             return self._platform.respond_ready(self._node.is_ready())
         if target.startswith("/metrics"):
+            self._record_proof_age()
             text = self._counters.render().encode()
             return responder.Answer(200, text, metrics.CONTENT_TYPE)
         return self._platform.respond_directory(target, self._choose, DIRECTORY_TTL_S)
 
+    def _record_proof_age(self) -> None:
+        proof = self._node.state.proof
+        age_s = proof.age_s(self._loop.boot_s())
+        if proof.bound_s is not None and age_s is not None:
+            self._counters.set_gauge("configuration_proof_age_seconds", (), age_s)
+
     def _choose(self, host: str, region: str, domain: str) -> list[ingress.EntryVm]:
         return self._node.entries_for(self._loop.now_s(), host, region, domain)
 
@@ -258,11 +266,20 @@
         budget.ratio = cfg.node.retry_ratio
         budget.slack = cfg.node.retry_slack
         budget.window_s = cfg.node.retry_window_s
+        self._set_revocation_bound(cfg.node.revocation_bound_s)
         LOGGER.info(
             "reload",
-            extra={"grace_s": cfg.grace_s, "retry_slack": cfg.node.retry_slack},
+            extra={
+                "grace_s": cfg.grace_s,
+                "retry_slack": cfg.node.retry_slack,
+                "revocation_bound_s": cfg.node.revocation_bound_s,
+            },
         )
 
+    def _set_revocation_bound(self, bound_s: float | None) -> None:
+        self._node.state.proof.set_bound(bound_s)
+        self._following.set_revocation_bound(bound_s)
+
     def _begin_stop(self) -> None:
         LOGGER.info("stopping", extra={"open": self._gateway.n_open_requests})
         self._stopping_since_s = self._loop.now_s()
--- a/packages/daemon/bilberryridge/daemon/ingress_platform.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_platform.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bilberryridge.core import ingress
+from bilberryridge.daemon import configuration_proving
 from bilberryridge.decisions.ingress import crash_reports, state, stream_origins
 from bilberryridge.store import follower, mirror, registration, store_era
 from bilberryridge.transport.ingress import (
@@ -55,6 +56,10 @@
     def entry_prefix(self) -> str:
         """Prefix of the keys under which daemons register."""
 
+    @property
+    def configuration_key(self) -> str:
+        """Key of the configuration."""
+
     def table(self, store_copy: mirror.Mirror) -> ingress.RoutingTable | None:
         """Return the last readable routing table; None if there was none yet."""
 
@@ -113,6 +118,14 @@
     ) -> follower.StoreReader:
         """Create a client for reading the store."""
 
+    def configuration_reader(
+        self,
+        loop: event_loop.EventLoop,
+        pool: connection_pool.Pool,
+        eras: store_era.EraMonitor,
+    ) -> configuration_proving.ConfigurationReader:
+        """Create a client for reading the configuration alone."""
+
     def writer(
         self,
         loop: event_loop.EventLoop,
--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -14,7 +14,7 @@
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.daemon import ingress_platform
+from bilberryridge.daemon import configuration_proving, ingress_platform
 from bilberryridge.decisions import store_watchers
 from bilberryridge.decisions.ingress import crash_reports, events, stream_origins
 from bilberryridge.peers import link_codec
@@ -40,7 +40,10 @@
 Post = Callable[[events.Event], None]
 """Takes events for the node."""
 Message = (
-    link_codec.ChangesRequest | link_codec.StoreChanges | store_watchers.StorePosition
+    link_codec.ChangesRequest
+    | link_codec.StoreChanges
+    | store_watchers.StorePosition
+    | configuration_proving.Message
 )
 """Messages between daemons about the store."""
 
@@ -69,6 +72,8 @@
     random_state : random.Random
     post : Callable
         Takes events for the node.
+    revocation_bound_s : float or None
+        See `state.NodeSettings`.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         peers: Peers,
         random_state: random.Random,
         post: Post,
+        revocation_bound_s: float | None = None,
     ):
         self._decoder = platform.decoder
         self._loop = loop
@@ -122,6 +128,20 @@
             ),
         )
         self._watchers = store_watchers.StoreWatchers(local_entry)
+        self._proving = configuration_proving.ConfigurationProving(
+            loop,
+            platform.configuration_reader(loop, pool, eras),
+            self._store_copy,
+            eras,
+            platform.decoder.configuration_key,
+            local_entry,
+            peers,
+            random_state,
+            self._is_following,
+            self._ask_for_changes,
+            post,
+            revocation_bound_s,
+        )
         self._last_reports: events.CrashReportsRead | None = None
         self._was_settled = False
         self._was_covered = False
@@ -135,6 +155,7 @@
         self._loop.every(PEER_REQUEST_INTERVAL_S, self._request_changes)
         self._loop.every(CONTACT_CHECK_S, self._check_contact)
         self._loop.every(store_watchers.REPORT_INTERVAL_S, self._report_position)
+        self._proving.start()
 
     def revoke(self) -> None:
         """Remove this daemon's entry, so that no new callers are sent to it."""
@@ -148,6 +169,10 @@
         """Write streams that began here to the store."""
         self._streams.add(streams)
 
+    def set_revocation_bound(self, bound_s: float | None) -> None:
+        """Set the bound of revocations, as read again from the settings."""
+        self._proving.set_bound(bound_s)
+
     def check(self) -> None:
         """Ask the store for all changes until now."""
         self._follower.check(
@@ -168,6 +193,8 @@
             self._send_changes(vm, message)
         elif isinstance(message, link_codec.StoreChanges):
             self._on_peer_changes(vm, message)
+        elif isinstance(message, configuration_proving.Message):
+            self._proving.on_message(vm, message)
         else:
             self._on_position(vm, message)
 
@@ -179,6 +206,7 @@
             table = decoder.table(store_copy)
             if table is not None:
                 self._post(events.TableRead(table))
+            self._proving.on_changed()
             self._on_settled()
         streams = decoder.streams(store_copy, stream_keys)
         if streams:
--- a/packages/daemon/bilberryridge/daemon/tests/test_store_following.py
+++ b/packages/daemon/bilberryridge/daemon/tests/test_store_following.py
@@ -43,6 +43,7 @@
 class Platform:
     """A platform whose store never answers; it decodes nothing but versions."""
 
+    configuration_key = "config"
     entry_prefix = "entry/"
     stream_prefix = "stream/"
     table_items: list
@@ -54,7 +55,7 @@
     def reader(self, loop, pool, eras):
         return self
 
-    writer = reader
+    writer = configuration_reader = reader
 
     def read_all(self, on_answer):
         pass
--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bilberryridge.core import ingress, outcomes
-from bilberryridge.decisions.ingress import state
+from bilberryridge.decisions.ingress import configuration_proof, state
 
 
 @attrs.frozen
@@ -42,4 +42,23 @@
     Organisation or Denial or None
         None where the routing table names no organisations or the route is public.
     """
+    unproven = _check_proof(st, req, route)
+    if unproven is not None:
+        return unproven
     return None
+
+
+def _check_proof(
+    st: state.State, req: ingress.Request, route: ingress.Route
+) -> Denial | None:
+    """Refuse a key, known or not, while the configuration isn't proven the newest."""
+    if st.table is None or st.proof.is_valid(st.boot_s):
+        return None
+    if not configuration_proof.is_needed(st.table, route, req):
+        return None
+    age_s = st.proof.age_s(st.boot_s)
+    return Denial(
+        outcomes.Reason.CONFIGURATION_UNPROVEN,
+        {"proof_age_s": None if age_s is None else round(age_s, 3)},
+        st.proof.retry_after_s(st.boot_s, st.random_state),
+    )
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -16,6 +16,22 @@
     table: ingress.RoutingTable
 
 
+@attrs.frozen
+class ConfigurationProven:
+    """The configuration in force was the newest one at a time.
+
+    Parameters
+    ----------
+    proven_s : float
+        Of the clock that counts suspensions of the VM.
+    source : str
+        Where the proof came from.
+    """
+
+    proven_s: float
+    source: str
+
+
 @attrs.frozen
 class ServersRead:
     """The complete list of registered backend servers was read.
@@ -328,6 +344,7 @@
 
 Event = (
     TableRead
+    | ConfigurationProven
     | ServersRead
     | EntriesRead
     | EvacuationsRead
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -47,6 +47,27 @@
     )
 
 
+def _on_proven(
+    st: state.State, now_s: float, event: events.ConfigurationProven
+) -> None:
+    st.proof.record(event.proven_s, event.source)
+    _report_proof(st)
+
+
+def _report_proof(st: state.State) -> None:
+    """Report that the proof of the configuration was lost or is there again."""
+    change = st.proof.take_change(st.boot_s)
+    if change is None:
+        return
+    log_fields = {
+        "age_s": None if change.age_s is None else round(change.age_s, 3),
+        "source": change.source,
+        "after_s": round(change.after_s, 3),
+    }
+    text = "is proven the newest" if change.is_proven else "is not proven the newest"
+    st.emit(effects.LogStateChange("configuration", text, log_fields))
+
+
 def _on_servers(st: state.State, now_s: float, event: events.ServersRead) -> None:
     st.versions.update(event.servers, now_s)
     for change in st.servers.update(event, st.table, now_s):
@@ -96,6 +117,7 @@
 def _on_tick(st: state.State, now_s: float, event: events.Tick) -> None:
     if now_s - st.daemons_counted_s >= DAEMONS_COUNTED_INTERVAL_S:
         _count_daemons(st, now_s)
+    _report_proof(st)
     request_handlers.on_tick(st, now_s)
     st.members.remove_expired(now_s)
     load_handlers.on_tick(st, now_s)
@@ -107,6 +129,7 @@
 
 _HANDLERS: dict[type, Callable] = {
     events.TableRead: _on_table,
+    events.ConfigurationProven: _on_proven,
     events.ServersRead: _on_servers,
     events.EntriesRead: _on_entries,
     events.EvacuationsRead: _on_evacuations,
@@ -149,7 +172,9 @@
     ):
         self.state = state.State(cfg, random_state, choose or placement.choose)
 
-    def handle(self, now_s: float, event: events.Event) -> list[effects.Effect]:
+    def handle(
+        self, now_s: float, event: events.Event, boot_s: float | None = None
+    ) -> list[effects.Effect]:
         """Handle an event; return the effects in the order to carry them out.
 
         Parameters
@@ -157,7 +182,10 @@
         now_s : float
             Monotonic time.
         event : events.Event
+        boot_s : float, optional
+            Time that counts suspensions of the VM; the monotonic time by default.
         """
+        self.state.boot_s = now_s if boot_s is None else boot_s
         _HANDLERS[type(event)](self.state, now_s, event)
         emitted, self.state.effects = self.state.effects, []
         return emitted
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -9,6 +9,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    configuration_proof,
     crash_reports,
     crashing_requests,
     effects,
@@ -276,6 +277,9 @@
         self.random_state = random_state
         self.choose = choose
         self.table: ingress.RoutingTable | None = None
+        self.boot_s = 0.0
+        """Time of the event that is handled, counting suspensions of the VM."""
+        self.proof = configuration_proof.ConfigurationProof(cfg.revocation_bound_s)
         self.servers = server_table.ServerTable(cfg.local_domains)
         self.versions = service_versions.ServiceVersions(cfg.region_by_domain)
         self.streams = stream_origins.StreamOrigins(cfg.local_entry.name)
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -7,6 +7,7 @@
 RFC 8949, Concise Binary Object Representation.
 """
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -14,7 +15,7 @@
 import cbor2
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions import store_watchers
+from bilberryridge.decisions import proof_renewal, store_watchers
 from bilberryridge.decisions.ingress import (
     crash_reports,
     load_messages,
@@ -77,6 +78,8 @@
     | load_messages.RegionLoads
     | crash_reports.Report
     | StoreChanges
+    | proof_renewal.ProofRequest
+    | proof_renewal.ProofAnswer
 )
 
 
@@ -289,6 +292,24 @@
     return ChangesRequest(int(revision), int(era[0]) if era else None)
 
 
+def _pack_proof(answer: proof_renewal.ProofAnswer) -> list[Any]:
+    # Rounded up, as a proof must not get younger on the way.
+    age_ms = None if answer.age_s is None else math.ceil(answer.age_s * 1000)
+    return [answer.number, answer.version.era, answer.version.revision, age_ms]
+
+
+def _unpack_proof(fields: list[Any]) -> proof_renewal.ProofAnswer:
+    # Further fields may be appended by later builds.
+    number, era, revision, age_ms = fields[:4]
+    if age_ms is not None and age_ms < 0:
+        raise ValueError(f"a proof of age {age_ms} ms")
+    return proof_renewal.ProofAnswer(
+        int(number),
+        proof_renewal.Version(int(era), int(revision)),
+        None if age_ms is None else int(age_ms) / 1000,
+    )
+
+
 def _unpack_hello(fields: list[Any]) -> Hello:
     return Hello(ingress.EntryVm(*[str(field) for field in fields]))
 
@@ -314,6 +335,8 @@
             message.is_settled,
         ],
     ),
+    proof_renewal.ProofRequest: ("proof?", lambda message: [message.number]),
+    proof_renewal.ProofAnswer: ("proof", _pack_proof),
 }
 _UNPACK: dict[str, Callable[[list[Any]], Message]] = {
     "hello": _unpack_hello,
@@ -325,4 +348,6 @@
     "crashed": _unpack_crashed_requests,
     "sound": lambda fields: crash_reports.SoundPart(str(fields[0])),
     "position": _unpack_position,
+    "proof?": lambda fields: proof_renewal.ProofRequest(int(fields[0])),
+    "proof": _unpack_proof,
 }
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions import store_watchers
+from bilberryridge.decisions import proof_renewal, store_watchers
 from bilberryridge.decisions.ingress import (
     crash_reports,
     load_messages,
@@ -52,6 +52,9 @@
         crash_reports.CrashReport("s1.5", "vm-1", (frozenset("ab"), frozenset("c"))),
         crash_reports.CrashedRequests("s1.5", ("c1", "c2")),
         crash_reports.SoundPart("a"),
+        proof_renewal.ProofRequest(16_777_215),
+        proof_renewal.ProofAnswer(7, proof_renewal.Version(4, 9), 1.25),
+        proof_renewal.ProofAnswer(7, proof_renewal.Version(0, 0), None),
     ],
 )
 def test_decoded_message_is_the_encoded_one(message):
@@ -108,3 +111,21 @@
 def test_message_that_is_nested_deeply_or_has_too_large_a_number_is_an_error(data):
     with pytest.raises(codec.CodecError):
         link_codec.decode(data)
+
+
+def test_proof_does_not_get_younger_on_the_way():
+    answer = proof_renewal.ProofAnswer(7, proof_renewal.Version(4, 9), 1.2501)
+    assert link_codec.decode(link_codec.encode(answer)).age_s == 1.251
+
+
+@pytest.mark.parametrize("age_ms", [-1, float("nan"), float("inf"), "soon", [], -0.5])
+def test_proof_of_an_impossible_age_is_no_message(age_ms):
+    with pytest.raises(codec.CodecError):
+        link_codec.decode(cbor2.dumps(["proof", 7, 4, 9, age_ms]))
+
+
+def test_later_builds_may_append_fields_to_a_proof():
+    answer = link_codec.decode(cbor2.dumps(["proof", 7, 4, 9, 20, "later"]))
+    assert answer == proof_renewal.ProofAnswer(7, proof_renewal.Version(4, 9), 0.02)
+    request = link_codec.decode(cbor2.dumps(["proof?", 7, "later"]))
+    assert request == proof_renewal.ProofRequest(7)
--- a/packages/transport/bilberryridge/transport/ingress/event_loop.py
+++ b/packages/transport/bilberryridge/transport/ingress/event_loop.py
@@ -35,6 +35,10 @@
         """Return the monotonic time."""
         return time.monotonic()
 
+    def boot_s(self) -> float:
+        """Return the time since boot, which counts suspensions of the VM."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def after(self, seconds: float, action: timers.Action) -> timers.Timer:
         """Run an action once after a delay."""
         return self.timer_queue.at(self.now_s() + seconds, action)
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -197,7 +197,8 @@
         elif isinstance(event, events.AttemptSilent):
             self._counters.count("ingress_silent_attempts")
             self._log("attempt silent", event.request_id, {"attempt": event.attempt_id})
-        for effect in self.node.handle(self._loop.now_s(), event):
+        now_s, boot_s = self._loop.now_s(), self._loop.boot_s()
+        for effect in self.node.handle(now_s, event, boot_s):
             self._effect_handlers[type(effect)](effect)
         if isinstance(event, events.AttemptEnded | events.CallerGone):
             self._close_if_finished(event.request_id)
