Organisations: keys, headers, relays, home regions and metrics

Cause: daemons passed callers' keys on to servers and ran requests whose key no organisation holds. Daemons told each other the whole configuration, with the keys in it.

`access.check` finds the organisation of a request's key when its head was read, when it has arrived and before each further attempt. Servers get `Tenant` in place of `Authorization`; relayed requests carry the digest in their envelope. A request without a known key is answered 401 before its body is read; the body is discarded and the connection kept. The home regions of organisations bind placement and the directory, which reads the key from the query's `Authorization`. Details of malformed requests no longer quote the input, which may hold a key.

A daemon of the previous build refuses a relayed request with a digest as not run (503), as it can't name the organisation to the server.

--- a/packages/core/bilberryridge/core/ingress.py
+++ b/packages/core/bilberryridge/core/ingress.py
@@ -228,7 +228,7 @@
     services : mapping of str to Service
     limits : CallerLimits
     organisations : tuple of Organisation
-        Empty if requests need no key.
+        Empty if requests need no key. A key that several hold is that of the first.
 
     Examples
     --------
@@ -257,7 +257,7 @@
         object.__setattr__(self, "_by_host", by_host)
         by_key = {
             digest: organisation
-            for organisation in self.organisations
+            for organisation in reversed(self.organisations)
             for digest in organisation.key_digests
         }
         object.__setattr__(self, "_by_key", by_key)
--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -32,6 +32,7 @@
 from bilberryridge.transport import settings
 from bilberryridge.transport.ingress import (
     connection_pool,
+    dialect,
     event_loop,
     gateway,
     port,
@@ -196,16 +197,21 @@
             idle_deadline_s=limits.idle_timeout_s,
         )
 
-    def _respond(self, method: str, target: str) -> responder.Answer:
+    def _respond(self, head: dialect.Head) -> responder.Answer:
+        target = head.target
         if self._platform.is_ready_target(target):
             return self._platform.respond_ready(self._node.is_ready())
         if target.startswith("/metrics"):
             text = self._counters.render().encode()
             return responder.Answer(200, text, metrics.CONTENT_TYPE)
-        return self._platform.respond_directory(target, self._choose, DIRECTORY_TTL_S)
+        return self._platform.respond_directory(head, self._choose, DIRECTORY_TTL_S)
 
-    def _choose(self, host: str, region: str, domain: str) -> list[ingress.EntryVm]:
-        return self._node.entries_for(self._loop.now_s(), host, region, domain)
+    def _choose(
+        self, host: str, region: str, domain: str, key_digest: bytes
+    ) -> list[ingress.EntryVm]:
+        return self._node.entries_for(
+            self._loop.now_s(), host, region, domain, key_digest
+        )
 
     # Links
 
--- a/packages/daemon/bilberryridge/daemon/ingress_platform.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_platform.py
@@ -15,8 +15,9 @@
     responder,
 )
 
-ChooseEntries = Callable[[str, str, str], list[ingress.EntryVm]]
-"""Takes the host of the route and the region and failure domain of the caller."""
+ChooseEntries = Callable[[str, str, str, bytes], list[ingress.EntryVm]]
+"""Takes the host of the route, the region and failure domain of the caller, and the
+digest of its key, empty if it sends none."""
 
 
 @attrs.frozen
@@ -79,6 +80,9 @@
     def generation(self, key: str, value: bytes) -> mirror.Generation | None:
         """Return the order of a value by its writer's count; None if it has none."""
 
+    def redact(self, key: str, value: bytes) -> bytes:
+        """Return a value with digests in place of the keys of callers."""
+
     def stored_reports(self, store_copy: mirror.Mirror) -> crash_reports.StoredReports:
         """Return the daemons' reports on crashes; unreadable ones are skipped."""
 
@@ -125,7 +129,7 @@
         """Answer a readiness probe of the platform."""
 
     def respond_directory(
-        self, target: str, choose: ChooseEntries, ttl_s: float
+        self, head: dialect.Head, choose: ChooseEntries, ttl_s: float
     ) -> responder.Answer:
         """Answer a caller's query for the entry VMs to use."""
 
--- a/packages/daemon/bilberryridge/daemon/metrics.py
+++ b/packages/daemon/bilberryridge/daemon/metrics.py
@@ -12,6 +12,7 @@
 bilberryridge.daemon.registry : defines the names that may be recorded.
 """
 
+import collections
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -24,6 +25,9 @@
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 MAX_LABEL_SETS = 512
 MAX_LATENCY_LABEL_SETS = 64
+MAX_TRACKED_LABEL_SETS = 4_096
+"""Label sets of a metric of which only the largest are rendered: 2,100 organisations
+with two outcomes, in 1 MB."""
 OVERFLOW_LABEL = "other"
 QUANTILES = (0.5, 0.95, 0.99)
 SIGNIFICANT_DIGITS = 2
@@ -124,7 +128,9 @@
             return
         with self._lock:
             series = self._numbers.setdefault(name, {})
-            labels = _limit_labels(series, labels, MAX_LABEL_SETS)
+            is_tracked = registry.BY_NAME[name].n_largest > 0
+            max_sets = MAX_TRACKED_LABEL_SETS if is_tracked else MAX_LABEL_SETS
+            labels = _limit_labels(series, labels, max_sets)
             series[labels] = series.get(labels, 0) + n
 
     def set_gauge(self, name: str, labels: Labels, value: float) -> None:
@@ -180,6 +186,8 @@
         if metric.kind is not registry.Kind.LATENCY:
             with self._lock:
                 numbers = sorted(self._numbers.get(metric.name, {}).items())
+            if metric.n_largest:
+                numbers = _merge_smaller(numbers, metric.n_largest)
             return [
                 f"{name}{_label_text(labels, values)} {number:.12g}"
                 for values, number in numbers
@@ -211,6 +219,30 @@
     return (OVERFLOW_LABEL,) * len(labels)
 
 
+def _merge_smaller(
+    numbers: list[tuple[Labels, float]], n_largest: int
+) -> list[tuple[Labels, float]]:
+    """Sum all but the largest values of the first label under `OVERFLOW_LABEL`.
+
+    Examples
+    --------
+    >>> numbers = [(("a", "x"), 1), (("b", "x"), 3), (("c", "x"), 2)]
+    >>> _merge_smaller(numbers, 1)
+    [(('b', 'x'), 3), (('other', 'x'), 3)]
+    """
+    totals: collections.Counter[str] = collections.Counter()
+    for labels, number in numbers:
+        totals[labels[0]] += number  # type: ignore[assignment]
+    del totals[OVERFLOW_LABEL]
+    largest = {value for value, _ in totals.most_common(n_largest)}
+    merged: dict[Labels, float] = {}
+    for labels, number in numbers:
+        first = labels[0] if labels[0] in largest else OVERFLOW_LABEL
+        key = (first, *labels[1:])
+        merged[key] = merged.get(key, 0) + number
+    return sorted(merged.items())
+
+
 def _label_text(names: Labels, values: Labels) -> str:
     if not names:
         return ""
--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -10,6 +10,8 @@
 import attrs
 
 PREFIX = "bilberryridge_"
+N_LARGEST_ORGANISATIONS = 8
+"""A deployment may have thousands, which would be as many series at each daemon."""
 
 
 class Kind(enum.Enum):
@@ -35,12 +37,16 @@
     help : str
     labels : tuple of str
         Label names, in the order of the recorded values.
+    n_largest : int
+        Values of the first label that are rendered, those with the largest sums; the
+        others are rendered as one. 0 for all values.
     """
 
     name: str
     kind: Kind
     help: str
     labels: tuple[str, ...] = ()
+    n_largest: int = 0
 
     @property
     def full_name(self) -> str:
@@ -118,6 +124,13 @@
     ),
     _counter("ingress_servers_put_aside", "Servers that got no new work.", "cause"),
     _counter("ingress_answers_over_bound", "Answers that exceeded a bound."),
+    Metric(
+        "ingress_organisation_requests",
+        Kind.COUNTER,
+        "Requests that ended, by organisation: the largest, and `other`.",
+        ("organisation", "outcome"),
+        N_LARGEST_ORGANISATIONS,
+    ),
     _counter("log_lines_dropped", "Log lines over the bound."),
     _counter("store_entries_unreadable", "Entries of the store left out.", "kind"),
     # Control messages.
--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -87,7 +87,9 @@
         self._peers = peers
         self._random_state = random_state
         self._post = post
-        self._store_copy = mirror.Mirror(self._on_changed, platform.decoder.generation)
+        self._store_copy = mirror.Mirror(
+            self._on_changed, platform.decoder.generation, platform.decoder.redact
+        )
         eras = store_era.EraMonitor()
         self._follower = follower.Follower(
             platform.reader(loop, pool, eras),
--- a/packages/daemon/bilberryridge/daemon/tests/test_metrics.py
+++ b/packages/daemon/bilberryridge/daemon/tests/test_metrics.py
@@ -79,3 +79,22 @@
     assert 'bilberryridge_step_seconds_sum{event="tick"} 102' in text
     clock.now_s = 9 * metrics.WINDOW_S
     assert "quantile" not in recorder.render()
+
+
+def test_only_the_largest_organisations_are_rendered_and_the_rest_as_one():
+    counters = metrics.Metrics(is_strict=True)
+    for n in range(600):
+        labels = (f"o{n}", "served")
+        counters.count("ingress_organisation_requests", labels, n + 1)
+    counters.count("ingress_organisation_requests", ("o599", "deadline"), 5)
+    lines = [
+        line
+        for line in counters.render().splitlines()
+        if "organisation_requests" in line
+    ]
+    samples = [line.rpartition("{")[2] for line in lines if line[0] != "#"]
+    names = {sample.split('"')[1] for sample in samples}
+    assert names == {f"o{n}" for n in range(592, 600)} | {"other"}
+    assert len(samples) == 10
+    n_rest = sum(n + 1 for n in range(592))
+    assert f'organisation="other",outcome="served"}} {n_rest}' in "\n".join(samples)
--- a/packages/daemon/bilberryridge/daemon/tests/test_store_following.py
+++ b/packages/daemon/bilberryridge/daemon/tests/test_store_following.py
@@ -65,6 +65,9 @@
     def encode_entry(self, entry):
         return b""
 
+    def redact(self, key, value):
+        return value
+
     def generation(self, key, value):
         return mirror.Generation(0, int(value))
 
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -17,6 +17,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    access,
     crash_handlers,
     directory,
     effects,
@@ -166,12 +167,28 @@
         """Return whether callers may be directed to this daemon."""
         return self.state.table is not None and not self.state.is_stopping
 
+    @property
+    def names_organisations(self) -> bool:
+        """Whether requests need a key, but for public routes."""
+        table = self.state.table
+        return table is not None and bool(table.organisations)
+
+    def refuse_head(self, now_s: float, req: ingress.Request) -> effects.Refuse | None:
+        """Return the refusal of a request by its key before its body is read."""
+        return request_handlers.refuse_head(self.state, now_s, req)
+
     def entries_for(
-        self, now_s: float, host: str, region: str, domain: str
+        self,
+        now_s: float,
+        host: str,
+        region: str,
+        domain: str,
+        key_digest: bytes = b"",
     ) -> list[ingress.EntryVm]:
         """Return the entry VMs that a caller should use.
 
-        The list is empty without a routing table, as the regions that may serve the
+        A caller that sends its key gets those in its organisation's home regions. The
+        list is empty without a routing table, as the regions that may serve the
         host are unknown then; callers ask another daemon.
         """
         st = self.state
@@ -180,10 +197,10 @@
         entries = st.members.alive(now_s)
         if not st.is_stopping:
             entries.append(st.cfg.local_entry)
-        routes = st.table.routes_for_host(host)
-        allowed_by_route = [
-            route.allowed_regions for route in routes if route.allowed_regions
-        ]
+        organisation = st.table.organisation_of_key(key_digest)
+        allowed_by_route = access.allowed_regions(
+            st.table.routes_for_host(host), organisation
+        )
         return directory.choose(
             entries, allowed_by_route, region, domain, st.random_state
         )
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -45,6 +45,7 @@
 of 8 s."""
 STOPPING_RETRY_AFTER_S = 0.05
 """Retry-After of a stopping daemon; other entry VMs are serving."""
+UNAUTHENTICATED_STATUS = outcomes.STATUS_BY_REASON[outcomes.Reason.UNAUTHENTICATED]
 LONGEST_TIMEOUT_DECAY = 0.999
 """Factor applied with each request to the longest caller timeout seen on a route."""
 
@@ -63,6 +64,8 @@
         outcomes.Reason.REQUEST_HELD_BACK,
         outcomes.Reason.STOPPING,
         outcomes.Reason.STREAM_ORIGIN_UNKNOWN,
+        outcomes.Reason.UNAUTHENTICATED,
+        outcomes.Reason.CONFIGURATION_UNPROVEN,
     ]
 )
 
@@ -83,31 +86,42 @@
             _refuse_take_up(st, req)
 
 
+def refuse_head(
+    st: state.State, now_s: float, req: ingress.Request
+) -> effects.Refuse | None:
+    """Return the refusal of a request by its key, before its body is read.
+
+    None where its arrival would be refused for another reason or accepted by the state
+    at this moment.
+    """
+    if _refusal_by_state(st, req, now_s) is not None or st.table is None:
+        return None
+    route = st.table.find(req.host, req.path)
+    if route is None:
+        return None
+    checked = access.check(st, req, route, now_s)
+    if not isinstance(checked, access.Denial):
+        return None
+    return _refusal_by_denial(req, route, checked)
+
+
 def _on_arrived(
     st: state.State, now_s: float, req: ingress.Request, is_store_confirmed: bool
 ) -> None:
-    if st.stopping_s is not None and _is_refused_at_stop(req, now_s - st.stopping_s):
-        log_fields: dict[str, Any] = {"stopping_for_s": round(now_s - st.stopping_s, 3)}
-        retry_after_s = None if req.is_relayed else STOPPING_RETRY_AFTER_S
-        _refuse_on_arrival(st, req, outcomes.Reason.STOPPING, log_fields, retry_after_s)
-        return
-    if req.is_relayed and _n_open_relayed(st) >= MAX_OPEN_RELAYED:
-        log_fields = {"open_relayed": MAX_OPEN_RELAYED}
-        reason = outcomes.Reason.NO_CAPACITY
-        _refuse_on_arrival(st, req, reason, log_fields, OVERRUN_RETRY_AFTER_S)
-        return
-    if st.table is None or req.table_version > st.table.version:
-        log_fields = {"version": st.table.version if st.table else None}
-        retry_after_s = None if req.is_relayed else NO_TABLE_RETRY_AFTER_S
-        _refuse_on_arrival(
-            st, req, outcomes.Reason.NO_CONFIGURATION, log_fields, retry_after_s
-        )
+    refusal = _refusal_by_state(st, req, now_s)
+    if refusal is not None:
+        st.emit(refusal)
         return
+    assert st.table is not None
     route = st.table.find(req.host, req.path)
     if route is None:
         log_fields = {"version": st.table.version, "host": req.host, "path": req.path}
         _refuse_on_arrival(st, req, outcomes.Reason.UNKNOWN_SERVICE, log_fields)
         return
+    organisation = access.check(st, req, route, now_s)
+    if isinstance(organisation, access.Denial):
+        st.emit(_refusal_by_denial(req, route, organisation))
+        return
     if req.origin is None and take_ups.is_take_up(req, route):
         found = take_ups.find_origin(st, req, route)
         if found is None:
@@ -122,11 +136,9 @@
     if service is None:
         _refuse_take_up(st, req)
         return
-    organisation = access.check(st, req, route, now_s)
-    if isinstance(organisation, access.Denial):
-        denial = organisation
-        log_fields = {"route": route.name, **denial.log_fields}
-        _refuse_on_arrival(st, req, denial.reason, log_fields, denial.retry_after_s)
+    over_allotment = access.charge(st, req, organisation, now_s)
+    if over_allotment is not None:
+        st.emit(_refusal_by_denial(req, route, over_allotment))
         return
     waited_s = _waited_s(st, route, req)
     caller_timeout_s = min(req.caller_timeout_s, route.timeout_s)
@@ -145,6 +157,33 @@
     _place(st, item, now_s)
 
 
+def _refusal_by_state(
+    st: state.State, req: ingress.Request, now_s: float
+) -> effects.Refuse | None:
+    """Return why this daemon takes no such request now, whoever sends it."""
+    if st.stopping_s is not None and _is_refused_at_stop(req, now_s - st.stopping_s):
+        log_fields: dict[str, Any] = {"stopping_for_s": round(now_s - st.stopping_s, 3)}
+        retry_after_s = None if req.is_relayed else STOPPING_RETRY_AFTER_S
+        return _refusal(req, outcomes.Reason.STOPPING, log_fields, retry_after_s)
+    if req.is_relayed and _n_open_relayed(st) >= MAX_OPEN_RELAYED:
+        log_fields = {"open_relayed": MAX_OPEN_RELAYED}
+        reason = outcomes.Reason.NO_CAPACITY
+        return _refusal(req, reason, log_fields, OVERRUN_RETRY_AFTER_S)
+    if st.table is None or req.table_version > st.table.version:
+        log_fields = {"version": st.table.version if st.table else None}
+        retry_after_s = None if req.is_relayed else NO_TABLE_RETRY_AFTER_S
+        reason = outcomes.Reason.NO_CONFIGURATION
+        return _refusal(req, reason, log_fields, retry_after_s)
+    return None
+
+
+def _refusal_by_denial(
+    req: ingress.Request, route: ingress.Route, denial: access.Denial
+) -> effects.Refuse:
+    log_fields = {"route": route.name, **denial.log_fields}
+    return _refusal(req, denial.reason, log_fields, denial.retry_after_s)
+
+
 def on_caller_gone(st: state.State, now_s: float, event: events.CallerGone) -> None:
     """Cancel the request of a caller that left, or detach it if it is unsafe."""
     st.waiting_take_ups.pop(event.request_id, None)
@@ -222,7 +261,8 @@
         if now_s < item.deadline_s:
             if now_s >= item.place_again_s:
                 item.place_again_s = math.inf
-                _place(st, item, now_s)
+                if not _end_if_denied(st, item, now_s):
+                    _place(st, item, now_s)
                 continue
             _recall_held_back(st, item, now_s)
             path_handlers.on_waiting(st, item, now_s)
@@ -236,6 +276,7 @@
         path_handlers.on_deadline(st, item, now_s)
         if item.is_committed:
             sending.cancel(st, item)
+            log_fields |= access.log_fields(item)
             st.emit(effects.AbortStream(item.req.id, log_fields))
             _close_request(st, item)
             continue
@@ -256,6 +297,16 @@
         _hold_back(st, item, hold_back)
 
 
+def _end_if_denied(st: state.State, item: state.OpenRequest, now_s: float) -> bool:
+    """End a request that may not be sent again by its key; return whether so."""
+    denial = access.renew(st, item, now_s)
+    if denial is None:
+        return False
+    log_fields = dict(denial.log_fields)
+    _give_up(st, item, denial.reason, log_fields, denial.retry_after_s)
+    return True
+
+
 def _n_open_relayed(st: state.State) -> int:
     return sum(item.req.is_relayed for item in st.open_requests.values())
 
@@ -403,6 +454,8 @@
 ) -> None:
     if attempt.peer:
         _set_peer_aside(st, item, attempt, event, now_s)
+    if _end_if_denied(st, item, now_s):
+        return
     if event.is_misdirected or not event.is_server_reached:
         item.n_server_attempts -= 1
         _place_again(st, item, now_s)
@@ -446,9 +499,11 @@
     """Leave a region, or a daemon, out that refused a relayed request.
 
     A daemon that is stopping, has an older table or has lost its paths sends no
-    Retry-After.
+    Retry-After. One with a newer table that doesn't hold this request's key may serve
+    others.
     """
-    if event.retry_after_s is not None:
+    is_key_refused = event.status == UNAUTHENTICATED_STATUS
+    if event.retry_after_s is not None or is_key_refused:
         item.tried_regions.add(attempt.region)
     else:
         st.peers_aside_until_s[attempt.peer] = now_s + PEER_ASIDE_S
@@ -473,6 +528,8 @@
 
 def _place_again(st: state.State, item: state.OpenRequest, now_s: float) -> None:
     """Place a request again that reached no server of its service."""
+    if _end_if_denied(st, item, now_s):
+        return
     if retrying.reserve_send(st, item, now_s):
         _place(st, item, now_s)
         return
@@ -489,9 +546,12 @@
 ) -> None:
     """End a request without an answer: abort its stream, or refuse it."""
     if item.is_committed:
-        st.emit(
-            effects.AbortStream(item.req.id, {"reason": reason.value, **log_fields})
-        )
+        log_fields = {
+            "reason": reason.value,
+            **access.log_fields(item),
+            **log_fields,
+        }
+        st.emit(effects.AbortStream(item.req.id, log_fields))
         _close_request(st, item)
         return
     _refuse(st, item, reason, log_fields, retry_after_s)
@@ -515,6 +575,7 @@
     log_fields = {
         "route": item.route.name,
         "n_sends": item.n_server_attempts,
+        **access.log_fields(item),
         **log_fields,
     }
     if item.obstacle:
@@ -531,9 +592,18 @@
     log_fields: dict[str, Any],
     retry_after_s: float | None = None,
 ) -> None:
+    st.emit(_refusal(req, reason, log_fields, retry_after_s))
+
+
+def _refusal(
+    req: ingress.Request,
+    reason: outcomes.Reason,
+    log_fields: dict[str, Any],
+    retry_after_s: float | None,
+) -> effects.Refuse:
     outcome = outcomes.Outcome.NOT_RUN
     refusal = outcomes.Refusal(reason, outcome, "", retry_after_s)
-    st.emit(effects.Refuse(req.id, refusal, log_fields))
+    return effects.Refuse(req.id, refusal, log_fields)
 
 
 def _close_request(st: state.State, item: state.OpenRequest) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/retrying.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/retrying.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from bilberryridge.decisions.ingress import holding_back, state
+from bilberryridge.decisions.ingress import access, holding_back, state
 
 MAX_ATTEMPTS = 8
 """Maximum attempts of one request, including those that reached no server."""
@@ -22,6 +22,8 @@
     """The daemon that its caller is connected to decides."""
     DEADLINE = "deadline"
     BUDGET = "budget"
+    ACCESS = "access"
+    """Its key was revoked, or its organisation may not use the route any more."""
 
 
 def reserve(st: state.State, item: state.OpenRequest, now_s: float) -> bool:
@@ -66,6 +68,8 @@
 def _find_obstacle(
     st: state.State, item: state.OpenRequest, now_s: float
 ) -> Obstacle | None:
+    if access.renew(st, item, now_s) is not None:
+        return Obstacle.ACCESS
     if (
         item.n_server_attempts >= item.route.max_attempts
         or item.n_attempts >= MAX_ATTEMPTS
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -4,6 +4,7 @@
 
 from bilberryridge.core import ingress, silence
 from bilberryridge.decisions.ingress import (
+    access,
     effects,
     open_work,
     placement,
@@ -103,6 +104,7 @@
         "reading": round(server.prefill.fraction(now_s), 2),
         "fault": round(server.failure_rate(now_s), 2),
         "server_version": record.version,
+        **access.log_fields(item),
         **_repeat_fields(item),
         **take_ups.log_fields(item.req),
     }
@@ -126,6 +128,7 @@
             choice.prefix_source.record.address if choice.prefix_source else "",
             prompt.n_answer_tokens if prompt else 0,
             server.is_start_known,
+            access.name_for_server(st, item),
         )
     )
 
@@ -166,6 +169,7 @@
         "route": item.route.name,
         "way": "region" if choice.view else "neighbour",
         "expected_s": round(choice.expected.first_s, 3),
+        **access.log_fields(item),
         **_repeat_fields(item),
         **take_ups.log_fields(item.req),
     }
@@ -185,6 +189,7 @@
             log_fields,
             prompt.n_answer_tokens if prompt else 0,
             item.origin,
+            access.digest_for_peer(st, item),
         )
     )
 
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/deployment.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/deployment.py
@@ -43,8 +43,10 @@
 )
 
 
-def table(version=1, routes=ROUTES):
-    return ingress.RoutingTable(version, routes, SERVICES)
+def table(version=1, routes=ROUTES, organisations=()):
+    return ingress.RoutingTable(
+        version, routes, SERVICES, organisations=tuple(organisations)
+    )
 
 
 def server(server_id, service="desk", domain="d1", **changes):
--- a/packages/store/bilberryridge/store/mirror.py
+++ b/packages/store/bilberryridge/store/mirror.py
@@ -37,6 +37,15 @@
 """Takes key and value; returns None if the value says nothing about its order."""
 
 
+Redact = Callable[[str, bytes], bytes]
+"""Takes key and value; returns the value without the secrets in it."""
+
+
+def unredacted(key: str, value: bytes) -> bytes:
+    """Return a value as it is: a `Redact` for keys that hold no secrets."""
+    return value
+
+
 def unordered(key: str, value: bytes) -> Generation | None:
     """Return None: a `GenerationOf` for values without an order of their own."""
     return None
@@ -114,6 +123,9 @@
         Called with the changed keys after each update that changes any.
     generation_of : Callable
         Returns the generation of a value.
+    redact : Callable
+        Removes secrets from a value before it is held, and so before it is handed on
+        to other daemons.
 
     Attributes
     ----------
@@ -133,13 +145,19 @@
     (b'1', 5)
     """
 
-    def __init__(self, on_changed: OnChanged, generation_of: GenerationOf = unordered):
+    def __init__(
+        self,
+        on_changed: OnChanged,
+        generation_of: GenerationOf = unordered,
+        redact: Redact = unredacted,
+    ):
         self.items: dict[str, Item] = {}
         self.era = 0
         self.revision = 0
         self.withheld: dict[str, Item] = {}
         self._on_changed = on_changed
         self._generation_of = generation_of
+        self._redact = redact
         self._tombstones: collections.OrderedDict[str, _Tombstone] = (
             collections.OrderedDict()
         )
@@ -193,16 +211,16 @@
             if not isinstance(update, Item):
                 continue
             if self._is_older(update, held.get(update.key)):
-                self.withheld[update.key] = update
+                self.withheld[update.key] = self._redacted(update)
                 kept_value = held[update.key].value
                 self.items[update.key] = attrs.evolve(update, value=kept_value)
             elif self._is_deleted(update, tombstones.get(update.key)):
-                self.withheld[update.key] = update
+                self.withheld[update.key] = self._redacted(update)
                 self._tombstones[update.key] = attrs.evolve(
                     tombstones[update.key], revision=update.revision
                 )
             else:
-                self.items[update.key] = update
+                self.items[update.key] = self._redacted(update)
         changed = {
             key
             for key in held.keys() | self.items.keys()
@@ -271,12 +289,16 @@
         if withheld is not None and update.revision > withheld.revision:
             del self.withheld[update.key]
         if isinstance(update, Item):
-            self.items[update.key] = update
+            self.items[update.key] = self._redacted(update)
             self._tombstones.pop(update.key, None)
             return True
         self._delete(update.key, update.revision)
         return current is not None
 
+    def _redacted(self, item: Item) -> Item:
+        value = self._redact(item.key, item.value)
+        return item if value is item.value else attrs.evolve(item, value=value)
+
     def _is_lasting(self, item: Item) -> bool:
         generation = self._generation_of(item.key, item.value)
         return generation is not None and generation.start == 0
--- a/packages/store/bilberryridge/store/tests/test_mirror.py
+++ b/packages/store/bilberryridge/store/tests/test_mirror.py
@@ -169,3 +169,25 @@
     assert copy.changes_since(90, era=1).is_full
     assert copy.changes_since(80, era=1).is_full
     assert not copy.changes_since(80, era=2).is_full
+
+
+def test_secrets_are_neither_held_nor_handed_on():
+    def redact(key, value):
+        return value.replace(b"secret", b"-")
+
+    def generation_of(key, value):
+        return mirror.Generation(0, int(value[:1]))
+
+    copy = mirror.Mirror(lambda keys: None, generation_of, redact)
+    copy.apply(Changes(2, (Item("a", b"1secret", 2),), is_full=True))
+    copy.apply(Changes(3, (Item("a", b"4secret", 3),)))
+    assert copy.items["a"].value == b"4-"
+    assert b"secret" not in repr(copy.changes_since(0)).encode()
+    # A restored store brings the older value, and one that was deleted.
+    copy.apply(Changes(4, (Item("b", b"5secret", 4),)))
+    copy.apply(Changes(5, (Deletion("b", 5),)))
+    rows = (Item("a", b"1secret", 2), Item("b", b"5secret", 4))
+    copy.apply(Changes(4, rows, is_full=True, era=1))
+    assert set(copy.withheld) == {"a", "b"}
+    copy.accept_withheld()
+    assert "secret" not in repr((copy.items, copy.withheld, copy.overrides()))
--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -46,6 +46,8 @@
     HEAD = "head"
     BODY = "body"
     ANSWERING = "answering"
+    DISCARDING = "discarding"
+    """The answer was sent before the request's body was read to its end."""
     LINGERING = "lingering"
     CLOSED = "closed"
 
@@ -109,6 +111,7 @@
         self._is_chunked = False
         self._is_end_marked = True
         self._is_aborted = False
+        self._is_body_unread = False
         selector.register(sock, selectors.EVENT_READ, self)
         self._set_timer(cfg.head_deadline_s, self.close)
 
@@ -129,6 +132,20 @@
         if mask & selectors.EVENT_READ and self.phase is not Phase.CLOSED:
             self._read()
 
+    def answer_early(self) -> None:
+        """Let the current request be answered although its body was not read.
+
+        Called within `connection_owner.Owner.on_head`. The body is discarded and the
+        connection kept, unless the caller waits to be told to send it: whether it
+        still does would not be known.
+        """
+        if self._http.they_are_waiting_for_100_continue:
+            self._is_stopping = True
+        self.phase = Phase.ANSWERING
+        self._is_body_unread = True
+        self._clear_timer()
+        self._reader.discard_body()
+
     def start_answer(self, status: int, fields: headers.Fields) -> None:
         """Send the head of an answer."""
         if self._is_stopping or self.phase is not Phase.ANSWERING:
@@ -231,6 +248,9 @@
             self._set_timer(self._cfg.head_deadline_s, self._on_receive_timeout)
         elif self.phase is Phase.HEAD and self._timer is not None:
             self._timer.replace(self._on_receive_timeout)
+        elif self._is_body_unread:
+            self._discard()
+            return
         elif len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
             self._on_end_of_input()
         self._advance()
@@ -252,9 +272,10 @@
         """Process the parser's next event; return whether there may be another."""
         step = self._reader.read_next()
         if step is request_reader.Step.HEAD:
-            self._owner.on_head(self, self._reader.head)
             self.phase = Phase.BODY
             self._set_timer(self._cfg.body_deadline_s, self._on_receive_timeout)
+            # It may answer at once, which may even begin the next request.
+            self._owner.on_head(self, self._reader.head)
         elif step is request_reader.Step.END:
             self._process_end()
         elif step is request_reader.Step.CLOSED:
@@ -264,6 +285,22 @@
             return False
         return True
 
+    def _discard(self) -> None:
+        """Discard what was received of the body of a request answered early."""
+        step = request_reader.Step.BODY
+        try:
+            while step is request_reader.Step.BODY:
+                step = self._reader.read_next()
+        except errors.BadRequestError:
+            step = request_reader.Step.CLOSED
+        if step is request_reader.Step.MORE_NEEDED:
+            return
+        self._is_body_unread = False
+        if step is request_reader.Step.CLOSED:
+            self._is_stopping = True
+        if self.phase is Phase.DISCARDING:
+            self._finish_cycle()
+
     def _process_end(self) -> None:
         self._clear_timer()
         self.phase = Phase.ANSWERING
@@ -294,6 +331,12 @@
     def _finish_cycle(self) -> None:
         """After an answer, start the next request or close."""
         self._is_answer_finished = False
+        if self._is_body_unread and not self._is_stopping:
+            self._discard()
+        if self._is_body_unread and not self._is_stopping:
+            self.phase = Phase.DISCARDING
+            self._set_timer(self._cfg.body_deadline_s, self.close)
+            return
         if not self._is_end_marked:
             if self._is_aborted:
                 self.close()
--- a/packages/transport/bilberryridge/transport/connection_owner.py
+++ b/packages/transport/bilberryridge/transport/connection_owner.py
@@ -13,7 +13,10 @@
     """Callbacks of a connection, implemented by the object that answers requests."""
 
     def on_head(self, conn: "connection.Connection", head: Any) -> None:
-        """Check a head before its body is read; raises `errors.BadRequestError`."""
+        """Check a head before its body is read; raises `errors.BadRequestError`.
+
+        It may answer the request after `Connection.answer_early`.
+        """
 
     def on_request(
         self, conn: "connection.Connection", received: request_reader.ReceivedRequest
--- a/packages/transport/bilberryridge/transport/ingress/dialect.py
+++ b/packages/transport/bilberryridge/transport/ingress/dialect.py
@@ -105,7 +105,9 @@
         was sent.
         """
 
-    def fields_for_peer(self, head: Head, last_event_id: str) -> headers.Fields:
+    def fields_for_peer(
+        self, head: Head, effect: effects.SendToPeer, last_event_id: str
+    ) -> headers.Fields:
         """Return the fields to send to another daemon, without the envelope."""
 
     def answer_id(self, fields: headers.Fields) -> str:
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -105,10 +105,14 @@
         self._origin = None
         self._is_relaying = True
         envelope = relay_envelope.Envelope(
-            self.request_id, effect.remaining_s, effect.table_version, effect.origin
+            self.request_id,
+            effect.remaining_s,
+            effect.table_version,
+            effect.origin,
+            effect.key_digest or b"",
         )
         fields = (
-            *self._wire.fields_for_peer(self.head, self._last_event_id),
+            *self._wire.fields_for_peer(self.head, effect, self._last_event_id),
             (headers.ENVELOPE, relay_envelope.encode(envelope)),
         )
         address = addresses.split(effect.entry.relay_address)
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -2,7 +2,7 @@
 
 import collections
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -84,8 +84,10 @@
         self._counters = counters
         self._exchanges: dict[str, exchange.Exchange] = {}
         self._by_conn: dict[connection.Connection, exchange.Exchange] = {}
+        self._read_heads: dict[connection.Connection, ingress.Request] = {}
         self._arrived_s: dict[str, float] = {}
         self._logged_ids: dict[str, str] = {}
+        self._organisations: dict[str, str] = {}
         self._n_requests = 0
         self._held_limit = limits.ByteLimit(answer_bounds.MAX_TOTAL_HELD_BYTES)
         self._queued_events: collections.deque[events.Event] = collections.deque()
@@ -128,19 +130,50 @@
 
     def on_head(self, conn: connection.Connection, head: dialect.Head) -> None:
         """See `connection_owner.Owner`."""
+        if not self.node.names_organisations:
+            return
+        req = self._read_request(conn, head)
+        refused = self.node.refuse_head(self._loop.now_s(), req)
+        if refused is None:
+            self._read_heads[conn] = req
+            return
+        conn.answer_early()
+        request_id = self._next_id()
+        reservation = limits.Reservation(self._held_limit)
+        self._open(conn, head, b"", reservation, attrs.evolve(req, id=request_id))
+        self._refuse(attrs.evolve(refused, request_id=request_id))
 
     def on_request(
         self, conn: connection.Connection, received: request_reader.ReceivedRequest
     ) -> None:
         """See `connection_owner.Owner`."""
         head: dialect.Head = received.head
+        req = self._read_heads.pop(conn, None) or self._read_request(conn, head)
+        digest = req.key_digest if self.node.names_organisations else b""
+        content_id = request_content.content_id(head, received.body, digest)
+        req = attrs.evolve(req, id=self._next_id(), content_id=content_id)
+        self._open(conn, head, received.body, received.reservation, req)
+        self.post(events.RequestArrived(req))
+
+    def _read_request(
+        self, conn: connection.Connection, head: dialect.Head
+    ) -> ingress.Request:
+        req = self._wire.read_request(head, "")
+        return _with_envelope(req, head) if conn.is_relay else req
+
+    def _next_id(self) -> str:
         self._n_requests += 1
-        request_id = str(self._n_requests)
-        req = self._wire.read_request(head, request_id)
-        content_id = request_content.content_id(head, received.body)
-        req = attrs.evolve(req, content_id=content_id)
-        if conn.is_relay:
-            req = _with_envelope(req, head)
+        return str(self._n_requests)
+
+    def _open(
+        self,
+        conn: connection.Connection,
+        head: dialect.Head,
+        body: bytes,
+        reservation: limits.Reservation,
+        req: ingress.Request,
+    ) -> None:
+        request_id = req.id
         ex = exchange.Exchange(
             self._loop,
             self._pool,
@@ -148,8 +181,8 @@
             self.post,
             conn,
             head,
-            received.body,
-            received.reservation,
+            body,
+            reservation,
             request_id,
             self._held_limit,
         )
@@ -158,7 +191,6 @@
         self._arrived_s[request_id] = self._loop.now_s()
         self._logged_ids[request_id] = req.caller_request_id[:MAX_LOGGED_ID_CHARS]
         self._counters.count("ingress_requests", (_kind_of(req),))
-        self.post(events.RequestArrived(req))
 
     def on_bad_input(
         self, conn: connection.Connection, refusal: outcomes.Refusal
@@ -190,6 +222,7 @@
     def on_closed(self, conn: connection.Connection) -> None:
         """See `connection_owner.Owner`."""
         self._by_conn.pop(conn, None)
+        self._read_heads.pop(conn, None)
 
     def _handle(self, event: events.Event) -> None:
         if isinstance(event, events.AttemptEnded):
@@ -214,6 +247,10 @@
         ex.close()
         arrived_s = self._arrived_s.pop(ex.request_id, None)
         self._logged_ids.pop(ex.request_id, None)
+        organisation = self._organisations.pop(ex.request_id, "")
+        if organisation:
+            labels = (organisation, outcome)
+            self._counters.count("ingress_organisation_requests", labels)
         if arrived_s is not None:
             took_s = self._loop.now_s() - arrived_s
             self._counters.observe_s("ingress_request_s", (outcome,), took_s)
@@ -261,6 +298,7 @@
             **effect.log_fields,
         }
         self._log("refuse", effect.request_id, log_fields)
+        self._record_organisation(effect.request_id, effect.log_fields)
         self._counters.count("ingress_refused", (refusal.reason.value,))
         ex = self._exchanges[effect.request_id]
         ex.refuse(refusal, effect.is_server_reached)
@@ -303,8 +341,16 @@
             **effect.log_fields,
         }
         self._log(log_message, effect.request_id, log_fields)
+        self._record_organisation(effect.request_id, effect.log_fields)
         self._counters.count("ingress_sends", (log_message,))
 
+    def _record_organisation(
+        self, request_id: str, log_fields: Mapping[str, Any]
+    ) -> None:
+        organisation = log_fields.get("organisation")
+        if organisation:
+            self._organisations[request_id] = organisation
+
     def _log_ended(self, event: events.AttemptEnded) -> None:
         log_fields: dict[str, Any] = {
             "attempt": event.attempt_id,
@@ -354,6 +400,8 @@
         is_relayed=True,
         table_version=envelope.table_version,
         origin=envelope.origin,
+        # Fields of the caller that a daemon of an older build forwards prove nothing.
+        key_digest=envelope.key_digest,
     )
 
 
--- a/packages/transport/bilberryridge/transport/ingress/port.py
+++ b/packages/transport/bilberryridge/transport/ingress/port.py
@@ -21,8 +21,8 @@
     """A listening address and its connections.
 
     At the limit on connections, one that has no complete request is closed for a new
-    one: the oldest without a complete head, else without a complete body, else the
-    oldest idle one.
+    one: the oldest without a complete head, else without a complete body, also if that
+    is discarded, else the oldest idle one.
 
     Parameters
     ----------
@@ -148,7 +148,12 @@
             self._loop.selector.register(key.sock, 1, key)
 
     def _close_longest_waiting(self) -> None:
-        closable = (connection.Phase.HEAD, connection.Phase.BODY, connection.Phase.IDLE)
+        closable = (
+            connection.Phase.HEAD,
+            connection.Phase.BODY,
+            connection.Phase.DISCARDING,
+            connection.Phase.IDLE,
+        )
         for phase in closable:
             for conn in self._conns:
                 if conn.phase is phase:
--- a/packages/transport/bilberryridge/transport/ingress/relay_envelope.py
+++ b/packages/transport/bilberryridge/transport/ingress/relay_envelope.py
@@ -26,12 +26,23 @@
         Version of the routing table that the sender used.
     origin : StreamOrigin or None
         What alone can continue the stream; None for a new one.
+    key_digest : bytes
+        Of the caller's key; empty if it needs none, or if a daemon of an older build
+        sends the request.
     """
 
     request_id: str
     remaining_s: float
     table_version: int
     origin: ingress.StreamOrigin | None = None
+    key_digest: bytes = attrs.field(default=b"", repr=False)
+
+
+NO_ORIGIN = ("", "")
+"""Takes the place of the origin of a new stream before a key digest. A daemon of an
+older build, which checks no keys and names no organisation to servers, then finds no
+service of that name and refuses the request as not run; an absent origin there would
+be malformed to it, and its refusal would be taken for a server's answer."""
 
 
 def encode(envelope: Envelope) -> str:
@@ -47,9 +58,12 @@
         envelope.remaining_s,
         envelope.table_version,
     ]
-    if envelope.origin is not None:
-        # A daemon of an older build refuses what it can't continue rightly.
-        row.append(attrs.astuple(envelope.origin))
+    origin = attrs.astuple(envelope.origin) if envelope.origin else None
+    # A daemon of an older build refuses what it can't continue rightly.
+    if envelope.key_digest:
+        row += [origin or NO_ORIGIN, envelope.key_digest]
+    elif origin is not None:
+        row.append(origin)
     return _encode_row(row)
 
 
@@ -63,8 +77,12 @@
     """
     try:
         request_id, remaining_s, version, *rest = _decode_row(text)
-        origin = _origin(rest[0]) if rest else None
-        return Envelope(str(request_id), float(remaining_s), int(version), origin)
+        has_origin = bool(rest) and tuple(rest[0]) != NO_ORIGIN
+        origin = _origin(rest[0]) if has_origin else None
+        key_digest = _digest(rest[1]) if len(rest) > 1 else b""
+        return Envelope(
+            str(request_id), float(remaining_s), int(version), origin, key_digest
+        )
     except (TypeError, ValueError, OverflowError) as exc:
         raise errors.EnvelopeError(f"unreadable envelope: {exc}") from exc
 
@@ -99,6 +117,12 @@
     return ingress.StreamOrigin(str(service), str(version))
 
 
+def _digest(value: Any) -> bytes:
+    if not isinstance(value, bytes):
+        raise TypeError("the digest of a key is no bytes")
+    return value
+
+
 def _encode_row(row: Sequence[object]) -> str:
     return base64.urlsafe_b64encode(cbor2.dumps(row)).decode()
 
--- a/packages/transport/bilberryridge/transport/ingress/request_content.py
+++ b/packages/transport/bilberryridge/transport/ingress/request_content.py
@@ -8,7 +8,7 @@
 DIGEST_BYTES = 16
 
 
-def content_id(head: dialect.Head, body: bytes) -> str:
+def content_id(head: dialect.Head, body: bytes, key_digest: bytes = b"") -> str:
     """Return a digest of credentials, method, host, target and body.
 
     It leaves out what differs between attempts. The address of the caller is left out
@@ -18,6 +18,9 @@
     ----------
     head : Head
     body : bytes
+    key_digest : bytes
+        Taken for the credentials where daemons forward it in place of the field
+        `Authorization`; empty to take that field.
 
     Examples
     --------
@@ -28,7 +31,7 @@
     >>> content_id(head, b"") == content_id(head, b"1")
     False
     """
-    credentials = headers.find(head.fields, "authorization")
+    credentials = key_digest.hex() or headers.find(head.fields, "authorization")
     host = headers.find(head.fields, "host").lower()
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for text in (credentials, head.method, host, head.target):
--- a/packages/transport/bilberryridge/transport/ingress/responder.py
+++ b/packages/transport/bilberryridge/transport/ingress/responder.py
@@ -28,8 +28,8 @@
     content_type: str = "application/json"
 
 
-Respond = Callable[[str, str], Answer]
-"""Returns the answer to a method and a target."""
+Respond = Callable[[dialect.Head], Answer]
+"""Returns the answer to a request without a body."""
 
 
 def read_head(method: str, target: str, fields: headers.Fields) -> dialect.Head:
@@ -56,7 +56,7 @@
     ) -> None:
         """See `connection_owner.Owner`."""
         received.reservation.release()
-        answer = self._respond(received.head.method, received.head.target)
+        answer = self._respond(received.head)
         fields = (
             ("Content-Type", answer.content_type),
             ("Content-Length", str(len(answer.body))),
--- a/packages/transport/bilberryridge/transport/request_reader.py
+++ b/packages/transport/bilberryridge/transport/request_reader.py
@@ -81,6 +81,8 @@
         self._read_head = read_head
         self._head: Any = None
         self._body = bytearray()
+        self._n_body_bytes = 0
+        self._is_discarding = False
         self._reservation = limits.Reservation(body_limit)
 
     @property
@@ -128,6 +130,13 @@
     def begin_next(self) -> None:
         """Prepare for the next request."""
         self.fields = self._head = None
+        self._n_body_bytes = 0
+        self._is_discarding = False
+
+    def discard_body(self) -> None:
+        """Read the rest of the request's body without keeping it."""
+        self._is_discarding = True
+        self.drop()
 
     def drop(self) -> None:
         """Discard the body that is being read."""
@@ -140,7 +149,9 @@
         except h11.RemoteProtocolError as exc:
             is_large = exc.error_status_hint == HEAD_TOO_LARGE
             reason = outcomes.Reason.TOO_LARGE if is_large else BAD_REQUEST
-            raise errors.BadRequestError(reason, str(exc)) from exc
+            # What follows the colon is the caller's input, which may hold a key.
+            detail = str(exc).partition(":")[0]
+            raise errors.BadRequestError(reason, detail) from exc
 
     def _check_lines(self, head: bytes) -> None:
         if _AMBIGUOUS_LINES.search(head):
@@ -162,8 +173,11 @@
         self._head = self._read_head(event.method.decode(), target, fields)
 
     def _handle_body(self, data: bytes) -> None:
-        if len(self._body) + len(data) > self._cfg.max_body_bytes:
+        self._n_body_bytes += len(data)
+        if self._n_body_bytes > self._cfg.max_body_bytes:
             raise self._too_large()
+        if self._is_discarding:
+            return
         if not self._reservation.reserve(len(data)):
             detail = "too many requests are held at once"
             raise errors.BadRequestError(outcomes.Reason.BUSY, detail, BUSY_RETRY_S)
