--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -4,6 +4,7 @@
 
 from bilberryridge.core import ingress, silence
 from bilberryridge.decisions.ingress import (
+    access,
     effects,
     open_work,
     placement,
@@ -107,6 +108,7 @@
         "fault": round(server.failure_rate(now_s), 2),
         "server_version": record.version,
         **_pace_fields(server, expected.pace, now_s),
+        **access.log_fields(item),
         **_repeat_fields(item),
         **take_ups.log_fields(item.req),
     }
@@ -130,6 +132,7 @@
             choice.prefix_source.record.address if choice.prefix_source else "",
             prompt.n_answer_tokens if prompt else 0,
             server.is_start_known,
+            access.name_for_server(st, item),
         )
     )
 
@@ -204,6 +207,7 @@
         "route": item.route.name,
         "way": "region" if choice.view else "neighbour",
         "expected_s": round(choice.expected.first_s, 3),
+        **access.log_fields(item),
         **_repeat_fields(item),
         **take_ups.log_fields(item.req),
     }
@@ -223,6 +227,7 @@
             log_fields,
             prompt.n_answer_tokens if prompt else 0,
             item.origin,
+            access.digest_for_peer(st, item),
         )
     )
 
