Placement: requests leave a region whose streams would pause for too long

Where prompts make the streams of the best server of the region pause for longer than its routes allow, and those of another region would not, the other region takes the request. Both have to be fast enough for the request itself.

--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -168,7 +168,7 @@
     best = _best_in_region(st, item, now_s)
     remote = _best_remote(st, item, now_s)
     if best is None or (
-        remote is not None and _is_remote_better(item, best, remote, now_s)
+        remote is not None and _is_remote_better(st, item, best, remote, now_s)
     ):
         best = remote
     if best is None:
@@ -534,6 +534,7 @@
 
 
 def _is_remote_better(
+    st: state.State,
     item: state.OpenRequest,
     local: ServerChoice | PeerChoice,
     remote: PeerChoice,
@@ -543,6 +544,12 @@
     is_local_fast_enough = _is_fast_enough(item, local.expected, now_s)
     if is_local_fast_enough != _is_fast_enough(item, remote.expected, now_s):
         return not is_local_fast_enough
+    gap_s = st.table.event_gap_s(item.service.name) if st.table else None
+    if gap_s is not None and is_local_fast_enough:
+        longest_s = EVENT_GAP_FRACTION * gap_s
+        is_local_smooth = local.expected.pause_s <= longest_s
+        if is_local_smooth != (remote.expected.pause_s <= longest_s):
+            return not is_local_smooth
     if isinstance(local, ServerChoice):
         failure_rate = local.server.failure_rate(now_s)
     else:
--- a/packages/decisions/bilberryridge/decisions/ingress/regions.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/regions.py
@@ -90,7 +90,11 @@
         prefill_s = n_prefill / rate
         first_s = unloaded_s + queue_s + prefill_s
         stream_s = prompt.n_answer_tokens * load.inter_token_s
-        return estimates.Estimate(first_s, queue_s, n_prefill, prefill_s, stream_s)
+        pause_s = service.engine.n_tokens_per_event * load.inter_token_s + prefill_s
+        pause_s += self._backlog_s(load, rate, n_tokens, False, now_s)
+        return estimates.Estimate(
+            first_s, queue_s, n_prefill, prefill_s, stream_s, pause_s=pause_s
+        )
 
     def _backlog_s(
         self,
