--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -136,7 +136,12 @@
 
 def log_fields(item: state.OpenRequest) -> dict[str, Any]:
     """Return whom a request is served for, for the log."""
-    return {"organisation": item.organisation.name} if item.organisation else {}
+    return log_fields_of(item.organisation)
+
+
+def log_fields_of(organisation: ingress.Organisation | None) -> dict[str, Any]:
+    """Return whom a request is served for, for the log."""
+    return {"organisation": organisation.name} if organisation else {}
 
 
 def allowed_regions(
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -125,16 +125,20 @@
     if req.origin is None and take_ups.is_take_up(req, route):
         found = take_ups.find_origin(st, req, route)
         if found is None:
-            _refuse_take_up(st, req)
+            _refuse_take_up(st, req, organisation)
             return
         if found[1] is take_ups.Source.SINGLE_VERSION and not is_store_confirmed:
             take_ups.await_store(st, req, now_s)
             return
         req = attrs.evolve(req, origin=found[0])
-        st.emit(effects.LogTakeUp(req.id, take_ups.log_fields(req, found[1])))
+        log_fields = {
+            **take_ups.log_fields(req, found[1]),
+            **access.log_fields_of(organisation),
+        }
+        st.emit(effects.LogTakeUp(req.id, log_fields))
     service = service_choice.choose(st, st.table, route, req)
     if service is None:
-        _refuse_take_up(st, req)
+        _refuse_take_up(st, req, organisation)
         return
     over_allotment = access.charge(st, req, organisation, now_s)
     if over_allotment is not None:
@@ -311,12 +315,20 @@
     return sum(item.req.is_relayed for item in st.open_requests.values())
 
 
-def _refuse_take_up(st: state.State, req: ingress.Request) -> None:
+def _refuse_take_up(
+    st: state.State,
+    req: ingress.Request,
+    organisation: ingress.Organisation | None = None,
+) -> None:
     """Refuse to continue a stream without knowing what can continue it.
 
     Without Retry-After: other daemons know no more, and the caller can start anew.
     """
-    log_fields = {"path": req.path, **take_ups.log_fields(req)}
+    log_fields = {
+        "path": req.path,
+        **take_ups.log_fields(req),
+        **access.log_fields_of(organisation),
+    }
     _refuse_on_arrival(st, req, outcomes.Reason.STREAM_ORIGIN_UNKNOWN, log_fields)
 
 
--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -112,6 +112,7 @@
         self._is_end_marked = True
         self._is_aborted = False
         self._is_body_unread = False
+        self._is_advancing = False
         selector.register(sock, selectors.EVENT_READ, self)
         self._set_timer(cfg.head_deadline_s, self.close)
 
@@ -262,11 +263,17 @@
 
     def _advance(self) -> None:
         """Process the parsed input; errors of the caller are answered here."""
+        if self._is_advancing:
+            # A request was answered as it was read; the loop below goes on.
+            return
+        self._is_advancing = True
         try:
             while self.phase in (Phase.HEAD, Phase.BODY) and self._process_next():
                 pass
         except errors.BadRequestError as exc:
             self._refuse(exc)
+        finally:
+            self._is_advancing = False
 
     def _process_next(self) -> bool:
         """Process the parser's next event; return whether there may be another."""
