Allotments: count requests, ask other daemons, refuse with 429

Cause: the node counted nothing for organisations.

Change: access.check charges a request of an organisation with an allotment; a request that lacks tokens waits up to a tenth of its goal (0.15 s at least, if that is within a quarter) for other daemons' tokens, else it is refused with OVER_ALLOTMENT and a Retry-After after those told before. What no server may have run is given back when the request ends. New message kinds ask, part, unused and held on links. Two counters by organisation (the largest 8, other). Only tables with organisations that have a rate use any of it.

--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -106,6 +106,18 @@
     _counter("ingress_requests", "Requests read.", "way"),
     _counter("ingress_bad_input", "Requests refused as they were read.", "reason"),
     _counter("ingress_refused", "Requests refused.", "reason"),
+    _counter(
+        "ingress_allotment_requests",
+        "Requests counted in allotments.",
+        "organisation",
+        "result",
+    ),
+    _counter(
+        "ingress_allotment_units",
+        "Tokens or requests counted in allotments.",
+        "organisation",
+        "result",
+    ),
     _counter("ingress_sends", "Attempts sent.", "way"),
     _counter("ingress_attempts", "Attempts that ended.", "result"),
     _counter("ingress_streams_cut", "Streams that could not be finished."),
--- a/packages/decisions/bilberryridge/decisions/ingress/allotments.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/allotments.py
@@ -27,10 +27,13 @@
 time in which it does. Some daemons may still hear of it then and prolong its proof."""
 JOIN_MARGIN_S = 0.1
 """Added to the time for which shares are lent before a new daemon holds any."""
-WAIT_GOAL_FRACTION = 0.1
-"""Fraction of a route's latency goal for which a request may wait for tokens."""
+WAIT_GOAL_FRACTION, MAX_WAIT_GOAL_FRACTION = 0.1, 0.25
+"""Fraction of a route's latency goal for which a request may wait for tokens, and most
+of it if that is less than another region takes to answer."""
+REMOTE_ANSWER_S = 0.15
+"""Time in which another region answers, 55 ms away, with the time between two ticks."""
 MAX_WAIT_S = 0.25
-"""Longest such time; what isn't there by then is not expected."""
+"""Longest time that a request waits; what isn't there by then is not expected."""
 SWEEP_INTERVAL_S = 1.0
 N_SWEPT = 32
 """Interval of the search for accounts that are full, and most that are looked at."""
@@ -38,10 +41,11 @@
 """The numbers of questions begin at random below, so that an answer to a daemon's
 predecessor is not taken for one to it."""
 N_NAMED = 8
-"""Organisations with counters of their own in the metrics."""
+REST = "other"
+"""Organisations with counters of their own in the metrics, and the name of the rest."""
 
 
-@attrs.frozen
+@attrs.define
 class Charge:
     """What a request has taken.
 
@@ -59,8 +63,8 @@
 
 
 @attrs.define
-class Counters:
-    """What became of the requests of one organisation at this daemon.
+class Counts:
+    """What became of an organisation's requests since the counts were last taken.
 
     Parameters
     ----------
@@ -75,13 +79,30 @@
     n_tokens_taken: float = 0.0
     n_tokens_refused: float = 0.0
 
-    def add(self, other: "Counters") -> None:
-        """Add the counts of another organisation."""
-        self.n_taken += other.n_taken
-        self.n_refused += other.n_refused
-        self.n_given_back += other.n_given_back
-        self.n_tokens_taken += other.n_tokens_taken
-        self.n_tokens_refused += other.n_tokens_refused
+
+def hold_s(revocation_bound_s: float | None) -> float:
+    """Return the time for which a daemon that is gone is counted.
+
+    Parameters
+    ----------
+    revocation_bound_s : float or None
+        Time after which a daemon without proof of its configuration stops.
+    """
+    if revocation_bound_s is None:
+        return HOLD_S
+    return HOLD_REVOCATION_BOUNDS * revocation_bound_s
+
+
+def wait_s(latency_goal_s: float) -> float:
+    """Return the time that a request of a route may wait for tokens.
+
+    Examples
+    --------
+    >>> [round(wait_s(goal_s), 3) for goal_s in (2.5, 0.8, 0.6, 0.4)]
+    [0.25, 0.15, 0.15, 0.1]
+    """
+    at_least_s = min(MAX_WAIT_GOAL_FRACTION * latency_goal_s, REMOTE_ANSWER_S)
+    return min(MAX_WAIT_S, max(WAIT_GOAL_FRACTION * latency_goal_s, at_least_s))
 
 
 @attrs.define
@@ -109,8 +130,6 @@
     ----------
     charges : dict of str to Charge
         What open requests have taken, by request.
-    counters : dict of str to Counters
-        By organisation; removed with the organisation.
     """
 
     def __init__(
@@ -122,8 +141,8 @@
         random_state: random.Random,
     ):
         self.charges: dict[str, Charge] = {}
-        self.counters: dict[str, Counters] = {}
-        self.removed = Counters()
+        self._counts: dict[str, Counts] = {}
+        self._named: frozenset[str] = frozenset()
         self._name = name
         self._region = region
         self._bound = bound
@@ -146,6 +165,11 @@
         """This daemon's own share, 0 to 1."""
         return self._shares.share if self._shares else 0.0
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether any organisation has a limit."""
+        return bool(self._allotments)
+
     @property
     def n_in_use(self) -> int:
         """Organisations with an account."""
@@ -158,7 +182,7 @@
         self._allotments = {
             organisation.name: organisation.allotment
             for organisation in organisations
-            if organisation.allotment is not None
+            if organisation.allotment and organisation.allotment.rate_per_s > 0
         }
         for name, entry in list(self._entries.items()):
             allotment = self._allotments.get(name)
@@ -167,8 +191,11 @@
             elif allotment != entry.allotment:
                 entry.allotment = allotment
                 entry.exchange.account.set_limit(self._limit(allotment), now_s)
-        for name in self.counters.keys() - self._allotments.keys():
-            self.removed.add(self.counters.pop(name))
+        # The largest by rate, so that they seldom change.
+        by_rate = sorted(
+            self._allotments, key=lambda n: (-self._allotments[n].rate_per_s, n)
+        )
+        self._named = frozenset(by_rate[:N_NAMED])
 
     def update_daemons(
         self, seen: Iterable[str], region_by_linked: Mapping[str, str], now_s: float
@@ -279,7 +306,7 @@
             account.settle(charge.taken)
             return
         account.give_back(charge.taken, now_s)
-        self._counters(charge.organisation).n_given_back += 1
+        self._counts_of(charge.organisation).n_given_back += 1
 
     def withdraw(self, request_id: str) -> None:
         """Forget a waiting request whose caller has left."""
@@ -324,22 +351,10 @@
         settled, self._settled = self._settled, []
         return settled
 
-    def largest(self) -> dict[str, Counters]:
-        """Return the counters of the largest organisations, and the sum of the rest.
-
-        The largest are those with the highest rates, so that they seldom change.
-        """
-        by_rate = sorted(
-            self._allotments, key=lambda n: (-self._allotments[n].rate_per_s, n)
-        )
-        named = by_rate[:N_NAMED]
-        rest = Counters()
-        rest.add(self.removed)
-        for name, counters in self.counters.items():
-            if name not in named:
-                rest.add(counters)
-        result = {name: self.counters.get(name, Counters()) for name in named}
-        return {**result, "": rest}
+    def take_counts(self) -> dict[str, Counts]:
+        """Return the counts since the last call, by the names of the metrics."""
+        counts, self._counts = self._counts, {}
+        return counts
 
     def _limit(self, allotment: ingress.Allotment) -> rate_division.Limit:
         return rate_division.limit_within(
@@ -411,7 +426,7 @@
         if charge is None:
             return
         if taken is not None:
-            self.charges[request_id] = attrs.evolve(charge, taken=taken)
+            charge.taken = taken
             self._count_taken(name, charge.n_tokens)
         else:
             del self.charges[request_id]
@@ -434,18 +449,18 @@
             self.charges.pop(request_id, None)
             self._settled.append((request_id, True))
 
-    def _counters(self, name: str) -> Counters:
-        return self.counters.setdefault(name, Counters())
+    def _counts_of(self, name: str) -> Counts:
+        return self._counts.setdefault(name if name in self._named else REST, Counts())
 
     def _count_taken(self, name: str, n_tokens: float) -> None:
-        counters = self._counters(name)
-        counters.n_taken += 1
-        counters.n_tokens_taken += n_tokens
+        counts = self._counts_of(name)
+        counts.n_taken += 1
+        counts.n_tokens_taken += n_tokens
 
     def _count_refusal(self, name: str, n_tokens: float) -> None:
-        counters = self._counters(name)
-        counters.n_refused += 1
-        counters.n_tokens_refused += n_tokens
+        counts = self._counts_of(name)
+        counts.n_refused += 1
+        counts.n_tokens_refused += n_tokens
 
 
 def _collector(key: str, vms: Iterable[str]) -> str:
--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -7,7 +7,9 @@
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
+    allotments,
     crash_reports,
+    division_messages,
     load_messages,
     stream_origins,
 )
@@ -164,7 +166,10 @@
 
 
 PeerMessage = (
-    load_messages.DaemonLoads | load_messages.RegionLoads | crash_reports.Report
+    load_messages.DaemonLoads
+    | load_messages.RegionLoads
+    | crash_reports.Report
+    | division_messages.Message
 )
 
 
@@ -212,6 +217,21 @@
     log_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False)
 
 
+@attrs.frozen
+class CountAllotment:
+    """Count what became of an organisation's requests, in the metrics.
+
+    Parameters
+    ----------
+    organisation : str
+        One of the largest, or `allotments.REST`.
+    counts : Counts
+    """
+
+    organisation: str
+    counts: allotments.Counts
+
+
 Effect = (
     SendToServer
     | SendToPeer
@@ -227,4 +247,5 @@
     | CheckStore
     | LogTakeUp
     | LogStateChange
+    | CountAllotment
 )
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -4,7 +4,9 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    allotment_handlers,
     crash_handlers,
+    division_messages,
     effects,
     estimates,
     events,
@@ -43,6 +45,8 @@
         path_handlers.on_shares(st, event.vm, event.message.by_server, now_s)
         st.servers.update_share(event.vm, event.message.by_server, now_s)
         st.streams.learn(event.message.streams, event.vm, now_s)
+    elif isinstance(event.message, division_messages.Message):
+        allotment_handlers.on_message(st, event.vm, event.message, now_s)
     else:
         crash_handlers.on_report(st, event.message, now_s)
 
@@ -53,6 +57,7 @@
     name = event.entry.name
     st.emit(effects.LogStateChange("peer", f"{name} is linked"))
     holding_back.tell_all(st, name, now_s)
+    allotment_handlers.on_link_up(st, name, now_s)
     if event.entry.region == st.cfg.local_entry.region:
         shares = st.servers.all_shares(now_s)
         st.emit(effects.SendPeerMessage(name, load_messages.DaemonLoads(shares)))
@@ -66,6 +71,7 @@
     if not st.members.link_down(event.vm, event.incarnation, now_s):
         return
     st.servers.remove_peer(event.vm)
+    allotment_handlers.update_daemons(st, now_s)
     st.emit(effects.LogStateChange("peer", f"{event.vm} is not linked"))
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -17,6 +17,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    allotment_handlers,
     crash_handlers,
     directory,
     effects,
@@ -41,6 +42,7 @@
         return
     before = st.table.version if st.table else None
     st.table = event.table
+    allotment_handlers.on_table(st, now_s)
     log_fields = {"before": before, "routes": len(event.table.routes)}
     st.emit(
         effects.LogStateChange("table", f"version {event.table.version}", log_fields)
@@ -91,11 +93,19 @@
 def _count_daemons(st: state.State, now_s: float) -> None:
     st.daemons_counted_s = now_s
     st.budget.update_daemons(st.members.n_daemons(now_s), now_s)
+    allotment_handlers.update_daemons(st, now_s)
+
+
+def _on_peer_said(st: state.State, now_s: float, event: events.PeerSaid) -> None:
+    load_handlers.on_peer_said(st, now_s, event)
+    request_handlers.on_charges_settled(st, now_s)
 
 
 def _on_tick(st: state.State, now_s: float, event: events.Tick) -> None:
     if now_s - st.daemons_counted_s >= DAEMONS_COUNTED_INTERVAL_S:
         _count_daemons(st, now_s)
+    allotment_handlers.on_tick(st, now_s)
+    request_handlers.on_charges_settled(st, now_s)
     request_handlers.on_tick(st, now_s)
     st.members.remove_expired(now_s)
     load_handlers.on_tick(st, now_s)
@@ -123,7 +133,7 @@
     events.ProbeEnded: path_handlers.on_probe_ended,
     events.LinkUp: load_handlers.on_link_up,
     events.LinkDown: load_handlers.on_link_down,
-    events.PeerSaid: load_handlers.on_peer_said,
+    events.PeerSaid: _on_peer_said,
     events.StopAsked: _on_stop,
     events.Tick: _on_tick,
 }
@@ -158,6 +168,7 @@
             Monotonic time.
         event : events.Event
         """
+        self.state.now_s = now_s
         _HANDLERS[type(event)](self.state, now_s, event)
         emitted, self.state.effects = self.state.effects, []
         return emitted
--- a/packages/decisions/bilberryridge/decisions/ingress/rate_division.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/rate_division.py
@@ -122,7 +122,7 @@
     until_s: float
 
 
-@attrs.frozen
+@attrs.define
 class Taken:
     """Where the tokens of a request came from.
 
@@ -205,6 +205,8 @@
 
     def advance(self, now_s: float) -> None:
         """Let tokens accrue and loans end until now."""
+        if now_s <= self._updated_s:
+            return
         while self._next_end_s <= now_s:
             self._accrue(self._next_end_s)
             self._end_loans()
@@ -242,6 +244,10 @@
         """
         if self.n_spendable(now_s) < n_tokens + n_reserved:
             return None
+        if not self._lots:
+            self._level -= n_tokens
+            self._n_returnable += n_tokens
+            return Taken(n_tokens, n_tokens)
         n_from_level, lots = n_tokens, []
         while n_from_level > 0 and self._lots:
             lot = self._lots[0]
@@ -416,7 +422,9 @@
             self._clip()
 
     def _clip(self) -> None:
-        capacity = self.capacity
+        # The same as `capacity`, which takes longer.
+        capacity = self.share * self.limit.burst - self._n_out
+        capacity = capacity if capacity > 0 else 0.0
         if self._level > capacity:
             self._level = capacity
         if self._n_returnable:
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -8,6 +8,7 @@
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
     access,
+    allotment_handlers,
     crash_handlers,
     effects,
     events,
@@ -55,6 +56,15 @@
     events.AttemptResult.SPOILED: 1.0,
 }
 
+_RUN_RESULTS = frozenset(
+    [
+        events.AttemptResult.ANSWERED,
+        events.AttemptResult.LOST,
+        events.AttemptResult.SPOILED,
+    ]
+)
+"""Results of attempts that a server may have run."""
+
 _NOT_RUN_REASONS = frozenset(
     [
         outcomes.Reason.NO_CAPACITY,
@@ -123,6 +133,10 @@
         _refuse_take_up(st, req)
         return
     organisation = access.check(st, req, route, now_s)
+    if isinstance(organisation, access.Waiting):
+        waiting = state.WaitingCharge(req, now_s, is_store_confirmed)
+        st.waiting_charges[req.id] = waiting
+        return
     if isinstance(organisation, access.Denial):
         denial = organisation
         log_fields = {"route": route.name, **denial.log_fields}
@@ -145,9 +159,41 @@
     _place(st, item, now_s)
 
 
+def on_charges_settled(st: state.State, now_s: float) -> None:
+    """Go on with the requests for which tokens were taken; refuse the others."""
+    for request_id, is_taken in st.allotments.take_settled():
+        waiting = st.waiting_charges.pop(request_id, None)
+        if waiting is None:
+            continue
+        req = waiting.req
+        if not is_taken:
+            _refuse_over_allotment(st, req, now_s)
+            continue
+        left_s = max(0.0, req.caller_timeout_s - (now_s - waiting.arrived_s))
+        req = attrs.evolve(req, caller_timeout_s=left_s)
+        _on_arrived(st, now_s, req, waiting.is_store_confirmed)
+        if req.id not in st.open_requests and req.id not in st.waiting_take_ups:
+            st.allotments.end(req.id, is_run=False, now_s=now_s)
+
+
+def _refuse_over_allotment(st: state.State, req: ingress.Request, now_s: float) -> None:
+    reason = outcomes.Reason.OVER_ALLOTMENT
+    organisation = st.table and st.table.organisation_of_key(req.key_digest)
+    if not organisation or organisation.allotment is None:
+        _refuse_on_arrival(st, req, reason, {}, NO_TABLE_RETRY_AFTER_S)
+        return
+    n_tokens = organisation.allotment.cost(req.n_stated_tokens)
+    excess = allotment_handlers.excess(st, organisation, n_tokens, now_s)
+    log_fields = {"path": req.path, **excess.log_fields}
+    _refuse_on_arrival(st, req, reason, log_fields, excess.retry_after_s)
+
+
 def on_caller_gone(st: state.State, now_s: float, event: events.CallerGone) -> None:
     """Cancel the request of a caller that left, or detach it if it is unsafe."""
     st.waiting_take_ups.pop(event.request_id, None)
+    if st.waiting_charges.pop(event.request_id, None) is not None:
+        st.allotments.withdraw(event.request_id)
+        return
     item = st.open_requests.get(event.request_id)
     if item is None:
         return
@@ -188,6 +234,7 @@
     item.last_result = event.result.value
     is_sent = event.result is not events.AttemptResult.NOT_SENT
     item.n_arrivals += is_sent and event.is_server_reached
+    item.is_counted = item.is_counted or event.result in _RUN_RESULTS
     sending.record_relay_ended(st, attempt)
     if event.is_committed:
         take_ups.record_origin(st, item, attempt, None)
@@ -538,6 +585,7 @@
 
 def _close_request(st: state.State, item: state.OpenRequest) -> None:
     st.open_requests.pop(item.req.id, None)
+    st.allotments.end(item.req.id, item.is_counted, st.now_s)
 
 
 def _find_by_attempt(
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -48,6 +48,7 @@
     if item.attempt is None:
         return
     st.emit(effects.CancelAttempt(item.req.id, item.attempt.id))
+    item.is_counted = True
     record_relay_ended(st, item.attempt)
     server = st.servers.by_id.get(item.attempt.server_id)
     if server is not None:
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -9,11 +9,13 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    allotments,
     crash_reports,
     crashing_requests,
     effects,
     members,
     quarantine,
+    rate_division,
     regions,
     retry_budget,
     server_table,
@@ -132,6 +134,8 @@
         Whether the caller has left but the attempt continues.
     is_trial : bool
         Whether it is sent though it is held back.
+    is_counted : bool
+        Whether a server may have run it, so that its allotment is used.
     n_lost_beginnings : int
         Attempts whose server was lost as it began to answer.
     n_counted : int
@@ -167,6 +171,7 @@
     is_committed: bool = False
     is_detached: bool = False
     is_trial: bool = False
+    is_counted: bool = False
     n_lost_beginnings: int = 0
     n_counted: int = 0
     last_result: str = ""
@@ -233,6 +238,23 @@
     is_checked: bool = False
 
 
+@attrs.frozen
+class WaitingCharge:
+    """A request that waits for tokens of its organisation's allotment.
+
+    Parameters
+    ----------
+    req : Request
+    arrived_s : float
+    is_store_confirmed : bool
+        Whether the store was asked for the origin of the stream that it continues.
+    """
+
+    req: ingress.Request
+    arrived_s: float
+    is_store_confirmed: bool
+
+
 @attrs.define
 class LostServer:
     """A server whose connections have just ended.
@@ -267,6 +289,11 @@
     cfg : NodeSettings
     random_state : random.Random
     choose : PlacementRule
+
+    Attributes
+    ----------
+    now_s : float
+        Time of the event that is handled.
     """
 
     def __init__(
@@ -275,6 +302,7 @@
         self.cfg = cfg
         self.random_state = random_state
         self.choose = choose
+        self.now_s = float("-inf")
         self.table: ingress.RoutingTable | None = None
         self.servers = server_table.ServerTable(cfg.local_domains)
         self.versions = service_versions.ServiceVersions(cfg.region_by_domain)
@@ -288,6 +316,17 @@
         self.budget = retry_budget.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self.allotments = allotments.Allotments(
+            cfg.local_entry.name,
+            cfg.local_entry.region,
+            rate_division.Bound(
+                cfg.allotment_window_s, cfg.allotment_overshoot, cfg.allotment_slack
+            ),
+            allotments.hold_s(cfg.revocation_bound_s),
+            random_state,
+        )
+        self.allotments_counted_s = float("-inf")
+        self.waiting_charges: dict[str, WaitingCharge] = {}
         self.daemons_counted_s = float("-inf")
         self.quarantine = quarantine.Quarantine()
         self.crashing_requests = crashing_requests.CrashingRequests()
--- a/packages/decisions/bilberryridge/decisions/ingress/token_exchange.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/token_exchange.py
@@ -58,6 +58,8 @@
 USEFUL_COSTS = 2.0
 """Large requests that a daemon's own part of the burst must hold to be of use there:
 the tokens of parts that can't cover one would be missing elsewhere."""
+MUTE_S = 5.0
+"""Time for which nothing is asked of a collecting daemon that did not answer."""
 KNOWN_S = 3.0
 """Time for which the demand that a collecting daemon told is used."""
 DEMAND_S = 1.0
@@ -141,8 +143,11 @@
     _updated_s: float = 0.0
 
     def record(self, n_tokens: float, now_s: float) -> None:
-        self.per_s = self.at(now_s) + n_tokens / DEMAND_S
-        self._updated_s = now_s
+        elapsed_s = now_s - self._updated_s
+        if elapsed_s > 0:
+            self.per_s *= math.exp(-elapsed_s / DEMAND_S)
+            self._updated_s = now_s
+        self.per_s += n_tokens / DEMAND_S
         self.large_cost = max(n_tokens, LARGE_COST_DECAY * self.large_cost)
 
     def at(self, now_s: float) -> float:
@@ -196,6 +201,7 @@
         self._exhausted_until_s = -math.inf
         self._n_exhausted = 0.0
         self._told_until_s = -math.inf
+        self._mute_until_s = -math.inf
 
     def set_neighbours(self, around: Neighbours) -> None:
         """Apply another list of linked daemons."""
@@ -234,7 +240,8 @@
         self.used_s = now_s
         self._own.record(n_tokens, now_s)
         self._all.record(n_tokens, now_s)
-        taken = self.account.take(n_tokens, now_s, self._n_kept(now_s))
+        n_kept = self._n_kept(now_s) if self._waiting else 0.0
+        taken = self.account.take(n_tokens, now_s, n_kept)
         if taken is not None:
             return taken
         is_exhausted = now_s < self._exhausted_until_s and n_tokens >= self._n_exhausted
@@ -319,6 +326,8 @@
         for number, asked in list(self._asked.items()):
             if now_s - asked.asked_s >= self._answer_s(asked.is_share):
                 del self._asked[number]
+                if asked.request_id:
+                    self._mute_until_s = now_s + MUTE_S
         if now_s < self._active_until_s:
             self._collect(now_s)
         if self.account.has_lots and not self._waiting:
@@ -330,6 +339,13 @@
             message = division_messages.PartReturn(self.key, lot.number, lot.n_tokens)
             self.messages.append((lot.peer, message))
 
+    def _collector(self, now_s: float) -> str:
+        """Return the daemon that collects in this region; empty for this one.
+
+        One that doesn't answer is slow, cut off or of an older build.
+        """
+        return "" if now_s < self._mute_until_s else self._around.collector
+
     def _answer_s(self, is_share: bool) -> float:
         return SHARE_S if is_share else self.account.limit.loan_s
 
@@ -501,7 +517,7 @@
             self._give_up(waiting, now_s)
 
     def _n_kept(self, now_s: float) -> float:
-        return sum(w.n_kept(now_s) for w in self._waiting) if self._waiting else 0.0
+        return sum(w.n_kept(now_s) for w in self._waiting)
 
     def _can_serve(self, waiting: _Waiting, n_kept: float, now_s: float) -> bool:
         n_spendable = self.account.n_spendable(now_s)
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -7,6 +7,7 @@
 RFC 8949, Concise Binary Object Representation.
 """
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -17,12 +18,16 @@
 from bilberryridge.decisions import store_watchers
 from bilberryridge.decisions.ingress import (
     crash_reports,
+    division_messages,
     load_messages,
     stream_origins,
 )
 from bilberryridge.peers import codec
 from bilberryridge.store import mirror
 
+N_EXACT_BELOW = 1_000
+"""Amounts from which on fractions are left out where they only estimate."""
+
 
 @attrs.frozen
 class Hello:
@@ -77,6 +82,7 @@
     | load_messages.RegionLoads
     | crash_reports.Report
     | StoreChanges
+    | division_messages.Message
 )
 
 
@@ -293,6 +299,83 @@
     return Hello(ingress.EntryVm(*[str(field) for field in fields]))
 
 
+def _amount(value: Any) -> float:
+    """Return a number of tokens, a share or a time.
+
+    Raises
+    ------
+    ValueError
+        It is negative or not finite.
+    """
+    amount = float(value)
+    if not 0 <= amount < math.inf:
+        raise ValueError(f"no amount: {amount}")
+    return amount
+
+
+def _pack_part_request(message: division_messages.PartRequest) -> list[Any]:
+    return [
+        message.key,
+        message.number,
+        _short(message.n_needed),
+        _short(message.n_wanted),
+        _short(message.wait_s),
+        message.is_share,
+    ]
+
+
+def _unpack_part_request(fields: list[Any]) -> division_messages.PartRequest:
+    key, number, n_needed, n_wanted, wait_s, is_share = fields[:6]
+    return division_messages.PartRequest(
+        str(key),
+        int(number),
+        _amount(n_needed),
+        _amount(n_wanted),
+        _amount(wait_s),
+        bool(is_share),
+    )
+
+
+def _pack_part_grant(message: division_messages.PartGrant) -> list[Any]:
+    return [
+        message.key,
+        message.number,
+        message.n_tokens,
+        message.share,
+        _short(message.lasts_s),
+        _short(message.demand_per_s),
+        _short(message.n_left),
+    ]
+
+
+def _unpack_part_grant(fields: list[Any]) -> division_messages.PartGrant:
+    key, number, n_tokens, share, lasts_s, demand_per_s, n_left = fields[:7]
+    return division_messages.PartGrant(
+        str(key),
+        int(number),
+        _amount(n_tokens),
+        min(1.0, _amount(share)),
+        _amount(lasts_s),
+        _amount(demand_per_s),
+        _amount(n_left),
+    )
+
+
+def _unpack_part_return(fields: list[Any]) -> division_messages.PartReturn:
+    key, number, n_tokens = fields[:3]
+    return division_messages.PartReturn(str(key), int(number), _amount(n_tokens))
+
+
+def _unpack_held(fields: list[Any]) -> division_messages.HeldDaemons:
+    ages_s = {str(name): _amount(age_s) for name, age_s in fields[0].items()}
+    return division_messages.HeldDaemons(ages_s)
+
+
+def _short(value: float) -> float:
+    """Return a number rounded where that does no harm, as integers take less space."""
+    return int(value) if value >= N_EXACT_BELOW else round(value, 3)
+
+
 _PACK: dict[type, tuple[str, Callable[[Any], Any]]] = {
     Hello: ("hello", lambda message: attrs.astuple(message.entry)),
     ChangesRequest: ("want", lambda message: [message.revision, message.era]),
@@ -305,6 +388,13 @@
         lambda report: [report.server, list(report.contents)],
     ),
     crash_reports.SoundPart: ("sound", lambda report: [report.part]),
+    division_messages.PartRequest: ("ask", _pack_part_request),
+    division_messages.PartGrant: ("part", _pack_part_grant),
+    division_messages.PartReturn: (
+        "unused",
+        lambda message: [message.key, message.number, message.n_tokens],
+    ),
+    division_messages.HeldDaemons: ("held", lambda message: [message.ages_s]),
     store_watchers.StorePosition: (
         "position",
         lambda message: [
@@ -324,5 +414,9 @@
     "crash": _unpack_crash_report,
     "crashed": _unpack_crashed_requests,
     "sound": lambda fields: crash_reports.SoundPart(str(fields[0])),
+    "ask": _unpack_part_request,
+    "part": _unpack_part_grant,
+    "unused": _unpack_part_return,
+    "held": _unpack_held,
     "position": _unpack_position,
 }
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -8,6 +8,7 @@
 from bilberryridge.decisions import store_watchers
 from bilberryridge.decisions.ingress import (
     crash_reports,
+    division_messages,
     load_messages,
     stream_origins,
 )
@@ -52,6 +53,11 @@
         crash_reports.CrashReport("s1.5", "vm-1", (frozenset("ab"), frozenset("c"))),
         crash_reports.CrashedRequests("s1.5", ("c1", "c2")),
         crash_reports.SoundPart("a"),
+        division_messages.PartRequest("org", 7, 1_200.0, 400.0, 0.25),
+        division_messages.PartRequest("org", 7, is_share=True),
+        division_messages.PartGrant("org", 7, 1_200.25, 0.0122, 0.25, 500.0, 10.0),
+        division_messages.PartReturn("org", 7, 300.5),
+        division_messages.HeldDaemons({"vm-2": 12.5}),
     ],
 )
 def test_decoded_message_is_the_encoded_one(message):
@@ -108,3 +114,21 @@
 def test_message_that_is_nested_deeply_or_has_too_large_a_number_is_an_error(data):
     with pytest.raises(codec.CodecError):
         link_codec.decode(data)
+
+
+@pytest.mark.parametrize("n_tokens", [-1.0, float("nan"), float("inf")])
+def test_amounts_that_make_no_sense_are_not_taken(n_tokens):
+    data = cbor2.dumps(["part", "org", 7, n_tokens, 0.0, 0.25, 0.0, 0.0])
+    with pytest.raises(codec.CodecError):
+        link_codec.decode(data)
+
+
+def test_a_question_for_tokens_takes_few_bytes():
+    request = division_messages.PartRequest(
+        "acme-research", 1 << 39, 12_000.4, 0.0, 0.25
+    )
+    grant = division_messages.PartGrant(
+        "acme-research", 1 << 39, 12_000.4, 0.0, 0.25, 36_000.7, 5_000.2
+    )
+    assert len(link_codec.encode(request)) <= 50
+    assert len(link_codec.encode(grant)) <= 70
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -108,6 +108,7 @@
             effects.SendPeerMessage: self._send_peer_message,
             effects.StoreReport: lambda effect: None,
             effects.LogStateChange: lambda effect: None,
+            effects.CountAllotment: lambda effect: None,
         }
 
     def handle(self, event: node_events.Event) -> None:
