--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -116,6 +116,18 @@
         "configuration_proof_age_seconds",
         "Age of the proof that the configuration is the newest.",
     ),
+    _counter(
+        "ingress_allotment_requests",
+        "Requests counted in allotments.",
+        "organisation",
+        "result",
+    ),
+    _counter(
+        "ingress_allotment_units",
+        "Tokens or requests counted in allotments.",
+        "organisation",
+        "result",
+    ),
     _counter("ingress_sends", "Attempts sent.", "way"),
     _counter("ingress_attempts", "Attempts that ended.", "result"),
     _counter("ingress_streams_cut", "Streams that could not be finished."),
--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -10,7 +10,11 @@
 import attrs
 
 from bilberryridge.core import ingress, outcomes
-from bilberryridge.decisions.ingress import configuration_proof, state
+from bilberryridge.decisions.ingress import (
+    allotment_handlers,
+    configuration_proof,
+    state,
+)
 
 N_LOGGED_DIGEST_CHARS = 8
 """Hexadecimal digits of a key's digest in the log: enough for an operator who has the
@@ -33,6 +37,11 @@
     retry_after_s: float | None = None
 
 
+@attrs.frozen
+class Waiting:
+    """A request waits for tokens; `Allotments.take_settled` names it afterwards."""
+
+
 def check(
     st: state.State, req: ingress.Request, route: ingress.Route, now_s: float
 ) -> ingress.Organisation | Denial | None:
@@ -95,9 +104,10 @@
 def charge(
     st: state.State,
     req: ingress.Request,
+    route: ingress.Route,
     organisation: ingress.Organisation | None,
     now_s: float,
-) -> Denial | None:
+) -> Denial | Waiting | None:
     """Take what a request costs from the allotment of its organisation.
 
     Called once for each request that is to be placed, after all else was checked.
@@ -106,15 +116,22 @@
     ----------
     st : State
     req : Request
+    route : Route
     organisation : Organisation or None
     now_s : float
 
     Returns
     -------
-    Denial or None
+    Denial or Waiting or None
         None if the request may be placed.
     """
-    return None
+    if organisation is None:
+        return None
+    charged = allotment_handlers.charge(st, req, route, organisation, now_s)
+    if isinstance(charged, allotment_handlers.Excess):
+        reason = outcomes.Reason.OVER_ALLOTMENT
+        return Denial(reason, charged.log_fields, charged.retry_after_s)
+    return Waiting() if charged is allotment_handlers.Charge.WAITING else None
 
 
 def renew(st: state.State, item: state.OpenRequest, now_s: float) -> Denial | None:
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -8,6 +8,7 @@
 from bilberryridge.decisions import proof_renewal, store_watchers
 from bilberryridge.decisions.ingress import (
     crash_reports,
+    division_messages,
     load_messages,
     stream_origins,
 )
@@ -55,6 +56,11 @@
         proof_renewal.ProofRequest(16_777_215),
         proof_renewal.ProofAnswer(7, proof_renewal.Version(4, 9), 1.25),
         proof_renewal.ProofAnswer(7, proof_renewal.Version(0, 0), None),
+        division_messages.PartRequest("org", 7, 1_200.0, 400.0, 0.25),
+        division_messages.PartRequest("org", 7, is_share=True),
+        division_messages.PartGrant("org", 7, 1_200.25, 0.0122, 0.25, 500.0, 10.0),
+        division_messages.PartReturn("org", 7, 300.5),
+        division_messages.HeldDaemons({"vm-2": 12.5}),
     ],
 )
 def test_decoded_message_is_the_encoded_one(message):
@@ -129,3 +135,21 @@
     assert answer == proof_renewal.ProofAnswer(7, proof_renewal.Version(4, 9), 0.02)
     request = link_codec.decode(cbor2.dumps(["proof?", 7, "later"]))
     assert request == proof_renewal.ProofRequest(7)
+
+
+@pytest.mark.parametrize("n_tokens", [-1.0, float("nan"), float("inf")])
+def test_amounts_that_make_no_sense_are_not_taken(n_tokens):
+    data = cbor2.dumps(["part", "org", 7, n_tokens, 0.0, 0.25, 0.0, 0.0])
+    with pytest.raises(codec.CodecError):
+        link_codec.decode(data)
+
+
+def test_a_question_for_tokens_takes_few_bytes():
+    request = division_messages.PartRequest(
+        "acme-research", 1 << 39, 12_000.4, 0.0, 0.25
+    )
+    grant = division_messages.PartGrant(
+        "acme-research", 1 << 39, 12_000.4, 0.0, 0.25, 36_000.7, 5_000.2
+    )
+    assert len(link_codec.encode(request)) <= 50
+    assert len(link_codec.encode(grant)) <= 70
