--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -45,6 +45,10 @@
 of 8 s."""
 STOPPING_RETRY_AFTER_S = 0.05
 """Retry-After of a stopping daemon; other entry VMs are serving."""
+UNKNOWN_KEY_RETRY_AFTER_S = 0.5
+"""Told to a daemon that relayed a request with a key unknown here, never to a caller. A
+daemon of the previous build leaves one that names no time out for all requests for a
+second, public routes included."""
 UNAUTHENTICATED_STATUS = outcomes.STATUS_BY_REASON[outcomes.Reason.UNAUTHENTICATED]
 LONGEST_TIMEOUT_DECAY = 0.999
 """Factor applied with each request to the longest caller timeout seen on a route."""
@@ -185,7 +189,10 @@
     req: ingress.Request, route: ingress.Route, denial: access.Denial
 ) -> effects.Refuse:
     log_fields = {"route": route.name, **denial.log_fields}
-    return _refusal(req, denial.reason, log_fields, denial.retry_after_s)
+    retry_after_s = denial.retry_after_s
+    if req.is_relayed and denial.reason is outcomes.Reason.UNAUTHENTICATED:
+        retry_after_s = UNKNOWN_KEY_RETRY_AFTER_S
+    return _refusal(req, denial.reason, log_fields, retry_after_s)
 
 
 def on_caller_gone(st: state.State, now_s: float, event: events.CallerGone) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_access.py
@@ -265,7 +265,10 @@
     daemon = make_daemon()
     relayed = {"is_relayed": True, "table_version": 1}
     assert daemon.arrive("1", "safe", **relayed).refusal.status == 401
-    assert daemon.arrive("2", "safe", key_digest=b"x", **relayed).refusal.status == 401
+    refusal = daemon.arrive("2", "safe", key_digest=b"x", **relayed).refusal
+    assert refusal.status == 401
+    # The previous build then doesn't leave this daemon out for other requests.
+    assert refusal.retry_after_s is not None
     # Of a sender whose table doesn't bind the organisation to another region yet.
     assert daemon.arrive("3", "safe", key_digest=b"w", **relayed).refusal.status == 503
     sent = daemon.arrive("4", "safe", key_digest=b"k1", **relayed)
--- a/packages/transport/bilberryridge/transport/ingress/request_content.py
+++ b/packages/transport/bilberryridge/transport/ingress/request_content.py
@@ -30,6 +30,12 @@
     True
     >>> content_id(head, b"") == content_id(head, b"1")
     False
+
+    The daemon that is relayed the request has the digest only.
+
+    >>> full = dialect.Head("GET", "/x", (("Host", "a"), ("Authorization", "Bearer k")))
+    >>> content_id(full, b"", b"digest") == content_id(head, b"", b"digest")
+    True
     """
     credentials = key_digest.hex() or headers.find(head.fields, "authorization")
     host = headers.find(head.fields, "host").lower()
