Streams: a server's start is doubted from its connections' end to the store's word

Cause: streams went on at servers that had started again with another version in two cases. The store had become unreachable and the daemon had not noticed; or the server was back before any connection was refused.

Change: the pool reports the first connection to an address to which none had lasted, before a byte is sent on it. The server's start is in doubt from then until the store's word as of that moment or later; a store found away casts doubt back over servers reached since its last answer. Servers that name no version are not doubted by new connections.

--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -92,7 +92,7 @@
         self._loop = loop
         self._counters = counters
         local_entry = cfg.node.local_entry
-        self._pool = connection_pool.Pool(loop)
+        self._pool = connection_pool.Pool(loop, self._on_reached)
         self._node = node.Node(cfg.node, random_state)
         self._gateway = gateway.Gateway(
             loop,
@@ -215,6 +215,10 @@
     def _choose(self, host: str, region: str, domain: str) -> list[ingress.EntryVm]:
         return self._node.entries_for(self._loop.now_s(), host, region, domain)
 
+    def _on_reached(self, address: addresses.Address) -> None:
+        host, port_number = address
+        self._gateway.post(events.ServerReached(f"{host}:{port_number}"))
+
     # Links
 
     def _on_link_up(self, entry: ingress.EntryVm) -> None:
--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -145,7 +145,8 @@
         self._last_reports: events.CrashReportsRead | None = None
         self._was_settled = False
         self._was_covered = False
-        self._was_current: bool | None = None
+        self._last_contact: events.StoreContact | None = None
+        self._known_s = float("-inf")
         self._peer_settled_at_s = float("-inf")
 
     def start(self) -> None:
@@ -176,7 +177,9 @@
     def check(self) -> None:
         """Ask the store for all changes until now."""
         self._follower.check(
-            lambda is_confirmed: self._post(events.StoreChecked(is_confirmed))
+            lambda is_confirmed: self._post(
+                events.StoreChecked(is_confirmed, self._is_settled())
+            )
         )
 
     def on_link_up(self, entry: ingress.EntryVm) -> None:
@@ -251,9 +254,20 @@
             not self._follower.health.is_unavailable
             or peer_report_age_s < PEER_SETTLED_VALID_S
         )
-        if is_current != self._was_current:
-            self._was_current = is_current
-            self._post(events.StoreContact(is_current))
+        if is_current and self._is_settled():
+            self._known_s = max(self._known_s, self._store_known_s())
+        contact = events.StoreContact(is_current, self._known_s)
+        if contact != self._last_contact:
+            self._last_contact = contact
+            self._post(contact)
+
+    def _store_known_s(self) -> float:
+        """Return as of when all changes of the store are known here."""
+        store_copy, now_s = self._store_copy, self._loop.now_s()
+        known_s = self._watchers.known_s(store_copy.era, store_copy.revision, now_s)
+        if not self._was_covered and not self._follower.health.is_unavailable:
+            known_s = max(known_s, self._follower.health.last_answer_s)
+        return known_s
 
     def _on_store_restored(self) -> None:
         """Tell the linked daemons what the restored store has lost."""
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -87,9 +87,18 @@
 
 @attrs.frozen
 class StoreContact:
-    """Whether this daemon would know of the store's changes has changed."""
+    """Whether, and as of when, this daemon knows of the store's changes has changed.
+
+    Parameters
+    ----------
+    is_current : bool
+        Whether it would know of further changes.
+    known_s : float
+        Monotonic time as of which all changes are known; infinite if it is always now.
+    """
 
     is_current: bool
+    known_s: float = math.inf
 
 
 @attrs.frozen
@@ -100,9 +109,12 @@
     ----------
     is_confirmed : bool
         Whether all changes until then are known here.
+    is_settled : bool
+        False while servers may not have registered again after an outage.
     """
 
     is_confirmed: bool
+    is_settled: bool = True
 
 
 @attrs.frozen
@@ -294,6 +306,19 @@
     is_connected: bool
 
 
+@attrs.frozen
+class ServerReached:
+    """A connection was made to an address to which none had lasted until then.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    """
+
+    address: str
+
+
 @attrs.frozen
 class LinkUp:
     """A link to another daemon was opened."""
@@ -359,6 +384,7 @@
     | AttemptSilent
     | AttemptEnded
     | ProbeEnded
+    | ServerReached
     | LinkUp
     | LinkDown
     | PeerSaid
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -25,6 +25,7 @@
     path_handlers,
     placement,
     request_handlers,
+    server_starts,
     server_word_handlers,
     silence_handlers,
     state,
@@ -72,6 +73,8 @@
     st.versions.update(event.servers, now_s)
     for change in st.servers.update(event, st.table, now_s):
         st.emit(effects.LogStateChange("server", change))
+    if event.is_settled:
+        server_starts.confirm(st, now_s, now_s)
 
 
 def _on_entries(st: state.State, now_s: float, event: events.EntriesRead) -> None:
@@ -135,7 +138,7 @@
     events.EvacuationsRead: _on_evacuations,
     events.CrashReportsRead: crash_handlers.on_stored_reports,
     events.StreamsRead: take_ups.on_streams,
-    events.StoreContact: take_ups.on_store_contact,
+    events.StoreContact: server_starts.on_store_contact,
     events.StoreChecked: request_handlers.on_store_checked,
     events.RequestArrived: request_handlers.on_request_arrived,
     events.CallerGone: request_handlers.on_caller_gone,
@@ -144,6 +147,7 @@
     events.AttemptSilent: silence_handlers.on_attempt_silent,
     events.AttemptEnded: request_handlers.on_attempt_ended,
     events.ProbeEnded: path_handlers.on_probe_ended,
+    events.ServerReached: server_starts.on_server_reached,
     events.LinkUp: load_handlers.on_link_up,
     events.LinkDown: load_handlers.on_link_down,
     events.PeerSaid: load_handlers.on_peer_said,
--- a/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
@@ -7,6 +7,7 @@
     effects,
     events,
     load_messages,
+    server_starts,
     server_table,
     state,
 )
@@ -89,24 +90,13 @@
     if server.path.is_lost:
         change = f"path to {server.record.id} is back"
         st.emit(effects.LogStateChange("path", change))
+        server.path_back_s = now_s
+        server_starts.doubt(st, server, now_s)
         if not st.is_store_current:
-            _doubt_start(st, server, now_s)
+            server_starts.doubt_as_cold(st, server, now_s)
     server.path.record_connected()
 
 
-def _doubt_start(
-    st: state.State, server: server_table.ServerState, now_s: float
-) -> None:
-    """Take a server for one that may have started again, cold and of any version."""
-    service = st.table.services.get(server.record.service) if st.table else None
-    warmup_s = service.warmup_s if service else 0.0
-    server.cold_until_s = max(server.cold_until_s, now_s + warmup_s)
-    server.is_start_known = False
-    change = f"{server.record.id} may have started again"
-    log_fields = {"cause": "lost while the store is away", "cold_s": warmup_s}
-    st.emit(effects.LogStateChange("start", change, log_fields))
-
-
 def on_shares(
     st: state.State,
     vm: str,
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -16,6 +16,7 @@
     placement,
     retrying,
     sending,
+    server_starts,
     server_table,
     server_word_handlers,
     service_choice,
@@ -81,6 +82,11 @@
             _on_arrived(st, now_s, req, is_store_confirmed=True)
         else:
             _refuse_take_up(st, req)
+    is_confirmed = event.is_confirmed and event.is_settled
+    if is_confirmed:
+        server_starts.confirm(st, st.store_asked_s, now_s)
+    for item in server_starts.take_checked(st, is_confirmed):
+        _place(st, item, now_s)
 
 
 def _on_arrived(
@@ -148,6 +154,7 @@
 def on_caller_gone(st: state.State, now_s: float, event: events.CallerGone) -> None:
     """Cancel the request of a caller that left, or detach it if it is unsafe."""
     st.waiting_take_ups.pop(event.request_id, None)
+    st.waiting_starts.pop(event.request_id, None)
     item = st.open_requests.get(event.request_id)
     if item is None:
         return
@@ -294,7 +301,14 @@
     if hold_back is not None and not hold_back.is_trial_due:
         _hold_back(st, item, hold_back)
         return
+    if item.is_committed and item.origin is None:
+        # The store hasn't told the version of the server that began it.
+        log_fields = {"origin": "unknown"}
+        _give_up(st, item, outcomes.Reason.ANSWER_LOST, log_fields, None)
+        return
     choice = st.choose(st, item, now_s)
+    if server_starts.await_store(st, item, choice, now_s):
+        return
     if hold_back is not None:
         # Daemons of other regions would refuse it.
         if not isinstance(choice, placement.ServerChoice):
@@ -410,7 +424,8 @@
     if retrying.may_retry(st, item, now_s):
         choice = st.choose(st, item, now_s)
         if isinstance(choice, placement.NoCapacity):
-            _refuse_for_room(st, item, choice)
+            if not server_starts.await_store(st, item, choice, now_s):
+                _refuse_for_room(st, item, choice)
             return
         if retrying.take_budget(st, item, now_s):
             _send_with_room(st, item, choice, now_s)
@@ -463,6 +478,10 @@
     if item.route.is_repeatable and can_continue and retrying.reserve(st, item, now_s):
         _place(st, item, now_s)
         return
+    if item.route.is_repeatable and event.is_position_known and not can_continue:
+        may_wait = item.unsure is not None and retrying.reserve(st, item, now_s)
+        if may_wait and server_starts.await_origin(st, item, now_s):
+            return
     log_fields: dict[str, Any] = {"result": event.result.value}
     if not event.is_position_known:
         log_fields["position"] = "unknown"
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -106,8 +106,11 @@
     silence_ended_s : float
         When it last began an answer after it had been silent.
     is_start_known : bool
-        Whether it is surely the start that `record` tells of; False after it was lost
-        and is reached again while the store can't tell.
+        Whether it is surely the start that `record` tells of; see `server_starts`.
+    reached_s : float
+        When it was last reached after no connection to it had lasted.
+    path_back_s : float
+        When its lost path was last found to be back.
     """
 
     record: ingress.BackendServer
@@ -137,6 +140,8 @@
     sent_s: float = -math.inf
     silence_ended_s: float = -math.inf
     is_start_known: bool = True
+    reached_s: float = -math.inf
+    path_back_s: float = -math.inf
     _is_silence_counted: bool = True
     _failure_rate: float = 0.0
     _failure_rate_updated_s: float = 0.0
@@ -365,9 +370,6 @@
             if server_id not in records and event.is_settled:
                 self._remember_words(self.by_id.pop(server_id))
                 changes.append(f"{server_id} is gone")
-        if event.is_settled:
-            for server in self.by_id.values():
-                server.is_start_known = True
         self._rebuild_index()
         return changes
 
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -1,6 +1,7 @@
 """State of one ingress node, changed only by its event handlers, on one thread."""
 
 import collections
+import math
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -106,6 +107,22 @@
     reviewed_s: float = float("-inf")
 
 
+@attrs.frozen
+class UnsureStart:
+    """A server that was in doubt when it began a stream.
+
+    Parameters
+    ----------
+    server : ServerState
+        It is another object once the store has told of another start.
+    reached_s : float
+        The store's word as of then or later tells what began the stream.
+    """
+
+    server: server_table.ServerState
+    reached_s: float
+
+
 @attrs.define
 class OpenRequest:
     """A request without a final answer.
@@ -151,6 +168,10 @@
         The open attempt.
     organisation : Organisation or None
         The organisation that holds the caller's key; None where none is needed.
+    starts_awaited_until_s : float or None
+        Until when it may wait for the store's word on servers' starts; None before.
+    unsure : UnsureStart or None
+        What began the stream while its start was in doubt.
     tried_servers, tried_peers, tried_regions : set of str
         Servers, daemons and regions that were sent the request already.
     """
@@ -177,6 +198,8 @@
     n_events: int = 0
     attempt: Attempt | None = None
     organisation: ingress.Organisation | None = None
+    starts_awaited_until_s: float | None = None
+    unsure: UnsureStart | None = None
     tried_servers: set[str] = attrs.field(factory=set)
     tried_peers: set[str] = attrs.field(factory=set)
     tried_regions: set[str] = attrs.field(factory=set)
@@ -285,6 +308,9 @@
         self.streams = stream_origins.StreamOrigins(cfg.local_entry.name)
         self.streams_saved_s = float("-inf")
         self.is_store_current = True
+        self.store_known_s = math.inf
+        self.store_asked_s = -math.inf
+        self.waiting_starts: dict[str, bool] = {}
         self.waiting_take_ups: dict[str, WaitingTakeUp] = {}
         self.is_store_being_checked = False
         self.members = members.Members(cfg.local_entry)
--- a/packages/decisions/bilberryridge/decisions/ingress/take_ups.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/take_ups.py
@@ -60,7 +60,7 @@
 def await_store(st: state.State, req: ingress.Request, now_s: float) -> None:
     """Let a request wait until the store has told all versions until now."""
     st.waiting_take_ups[req.id] = state.WaitingTakeUp(req, now_s)
-    _check_store(st)
+    check_store(st, now_s)
 
 
 def take_checked(st: state.State) -> list[ingress.Request]:
@@ -74,7 +74,7 @@
 
 def take_overdue(st: state.State, now_s: float) -> list[ingress.Request]:
     """Return the requests that have waited too long; they wait no longer."""
-    _check_store(st)
+    check_store(st, now_s)
     waiting = st.waiting_take_ups.values()
     overdue = [e.req for e in waiting if now_s - e.arrived_s >= MAX_CHECK_S]
     for req in overdue:
@@ -82,10 +82,14 @@
     return overdue
 
 
-def _check_store(st: state.State) -> None:
-    if st.is_store_being_checked or not st.waiting_take_ups:
+def check_store(st: state.State, now_s: float) -> None:
+    """Ask the store for what requests wait for, unless it is being asked."""
+    is_waited_for = st.waiting_take_ups or st.waiting_starts
+    if st.is_store_being_checked or not is_waited_for:
         return
     st.is_store_being_checked = True
+    st.store_asked_s = now_s
+    st.waiting_starts = dict.fromkeys(st.waiting_starts, True)
     for waiting in st.waiting_take_ups.values():
         waiting.is_checked = True
     st.emit(effects.CheckStore())
@@ -113,6 +117,10 @@
     if attempt.server_id:
         if attempt.version is not None:
             item.origin = ingress.StreamOrigin(item.service.name, attempt.version)
+        elif item.unsure is None:
+            server = st.servers.by_id.get(attempt.server_id)
+            if server is not None:
+                item.unsure = state.UnsureStart(server, server.reached_s)
         return
     item.origin = told
     if told is not None and st.table is not None:
--- a/packages/decisions/bilberryridge/decisions/store_watchers.py
+++ b/packages/decisions/bilberryridge/decisions/store_watchers.py
@@ -102,6 +102,21 @@
             for report in self._recent(now_s)
         )
 
+    def known_s(self, era: int, revision: int, now_s: float) -> float:
+        """Return as of when a daemon at a position knows all changes of the store.
+
+        It is when the store last answered a daemon that has come no further; negative
+        infinity if none has reported.
+        """
+        return max(
+            (
+                report.received_s - report.position.age_s
+                for report in self._recent(now_s)
+                if report.position.era == era and report.position.revision <= revision
+            ),
+            default=float("-inf"),
+        )
+
     def ahead(self, era: int, revision: int, now_s: float) -> list[str]:
         """Return the daemons that hold changes of the era which this one lacks."""
         return [
--- a/packages/transport/bilberryridge/transport/ingress/connection_pool.py
+++ b/packages/transport/bilberryridge/transport/ingress/connection_pool.py
@@ -1,5 +1,6 @@
 """Pool of client connections to backend servers, daemons and the store."""
 
+import math
 from collections.abc import Callable
 
 from bilberryridge.transport import headers
@@ -8,6 +9,8 @@
 
 MAX_FRESH_IDLE_S = 1.0
 """Longest idle time of a connection for a request that must not be repeated."""
+MIN_RESTART_S = 1.0
+"""Time that a server takes at least to end and start again."""
 MAX_IDLE_PER_ADDRESS = 16
 """Except in extreme peaks, a daemon has fewer concurrent requests at one server."""
 
@@ -18,10 +21,20 @@
     Parameters
     ----------
     loop : EventLoop
+    on_reached : callable
+        Called with an address as a connection is made to which, since the connection
+        before, another start of a server may listen there. Nothing was sent yet.
     """
 
-    def __init__(self, loop: event_loop.EventLoop):
+    def __init__(
+        self,
+        loop: event_loop.EventLoop,
+        on_reached: Callable[[addresses.Address], None] = lambda address: None,
+    ):
         self._loop = loop
+        self._on_reached = on_reached
+        self._established: dict[addresses.Address, set[upstream.Connection]] = {}
+        self._left_s: dict[addresses.Address, float] = {}
         self._idle: dict[addresses.Address, list[upstream.Connection]] = {}
         self._open: set[upstream.Connection] = set()
         self.n_opened = 0
@@ -65,9 +78,20 @@
         conn.idle_since_s = self._loop.now_s()
         idle_conns.append(conn)
 
+    def on_connected(self, conn: upstream.Connection) -> None:
+        """Report an address to which no connection had lasted until now."""
+        others = self._established.setdefault(conn.address, set())
+        has_lasted = any(not other.is_stale() for other in others)
+        others.add(conn)
+        left_s = self._left_s.pop(conn.address, -math.inf)
+        has_just_left = self._loop.now_s() - left_s < MIN_RESTART_S
+        if not has_lasted and not has_just_left:
+            self._on_reached(conn.address)
+
     def on_closed(self, conn: upstream.Connection) -> None:
-        """Remove a closed connection."""
+        """Remove a connection that is being closed."""
         self._open.discard(conn)
+        self._record_closed(conn)
         idle_conns = self._idle.get(conn.address)
         if idle_conns and conn in idle_conns:
             idle_conns.remove(conn)
@@ -75,6 +99,9 @@
     def close_idle(self) -> None:
         """Close connections that have been idle for too long."""
         now_s = self._loop.now_s()
+        for address, left_s in list(self._left_s.items()):
+            if now_s - left_s >= MIN_RESTART_S:
+                del self._left_s[address]
         for idle_conns in list(self._idle.values()):
             for conn in list(idle_conns):
                 if now_s - conn.idle_since_s > conn.max_idle_s:
@@ -85,6 +112,18 @@
         for conn in list(self._open):
             conn.cancel()
 
+    def _record_closed(self, conn: upstream.Connection) -> None:
+        """Record when the last connection to an address was closed by this side."""
+        others = self._established.get(conn.address)
+        if others is None or conn not in others:
+            return
+        others.discard(conn)
+        if others:
+            return
+        del self._established[conn.address]
+        if conn.is_ended_in_order or not conn.is_stale():
+            self._left_s[conn.address] = self._loop.now_s()
+
     def _take_idle(
         self, address: addresses.Address, needs_fresh_conn: bool, answer_id: str
     ) -> upstream.Connection | None:
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -105,8 +105,11 @@
     def on_idle(self, conn: "Connection") -> None:
         """Keep the connection for the next request."""
 
+    def on_connected(self, conn: "Connection") -> None:
+        """The connection was made; nothing has been sent yet."""
+
     def on_closed(self, conn: "Connection") -> None:
-        """Remove a closed connection."""
+        """Remove a connection; its socket is closed afterwards."""
 
 
 class Connection:
@@ -130,6 +133,8 @@
         self.idle_since_s = 0.0
         self.max_idle_s = MAX_IDLE_S
         self.is_closed = False
+        self.is_established = False
+        self.is_ended_in_order = False
         self._loop = loop
         self._owner = owner
         self._http = h11.Connection(h11.CLIENT)
@@ -281,6 +286,8 @@
             return
         self._connect_timer.cancel()
         self._is_connecting = False
+        self.is_established = True
+        self._owner.on_connected(self)
         self._watch()
         self._flush()
         if self._on_probed is not None:
@@ -438,6 +445,7 @@
             self._n_skipped = 0
             self._owner.on_idle(self)
         else:
+            self.is_ended_in_order = self._is_end_marked
             self.close()
         sink.on_end(self._is_end_marked)
 
