--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -65,7 +65,6 @@
     """Count a request for its organisation, which is allowed to send it."""
     charge = allotment_handlers.charge(st, req, route, organisation, now_s)
     if isinstance(charge, allotment_handlers.Excess):
-        reason = outcomes.Reason.OVER_ALLOTMENT
-        return Denial(reason, charge.log_fields, charge.retry_after_s)
+        return Denial(charge.reason, charge.log_fields, charge.retry_after_s)
     is_waiting = charge is allotment_handlers.Charge.WAITING
     return Waiting() if is_waiting else organisation
--- a/packages/decisions/bilberryridge/decisions/ingress/allotment_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/allotment_handlers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from bilberryridge.core import ingress
+from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
     allotments,
     division_messages,
@@ -15,6 +15,8 @@
     token_exchange,
 )
 
+STOPPING_RETRY_AFTER_S = 0.05
+"""Retry-After of a stopping daemon that has too few tokens."""
 COUNTS_INTERVAL_S = 1.0
 """Interval at which counts are passed on to the metrics."""
 
@@ -28,14 +30,16 @@
 
 @attrs.frozen
 class Excess:
-    """A request is over the allotment of its organisation.
+    """A request is over the allotment of its organisation, as far as is known here.
 
     Parameters
     ----------
+    reason : Reason
     log_fields : mapping
     retry_after_s : float
     """
 
+    reason: outcomes.Reason
     log_fields: Mapping[str, Any]
     retry_after_s: float
 
@@ -75,7 +79,11 @@
         **st.allotments.log_fields(name, now_s),
         "n_tokens": round(n_tokens, 1),
     }
-    return Excess(log_fields, st.allotments.retry_after_s(name, n_tokens, now_s))
+    if st.is_stopping:
+        # It has no links any more; other entry VMs have the tokens.
+        return Excess(outcomes.Reason.STOPPING, log_fields, STOPPING_RETRY_AFTER_S)
+    retry_after_s = st.allotments.retry_after_s(name, n_tokens, now_s)
+    return Excess(outcomes.Reason.OVER_ALLOTMENT, log_fields, retry_after_s)
 
 
 def on_message(
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -177,15 +177,15 @@
 
 
 def _refuse_over_allotment(st: state.State, req: ingress.Request, now_s: float) -> None:
-    reason = outcomes.Reason.OVER_ALLOTMENT
     organisation = st.table and st.table.organisation_of_key(req.key_digest)
     if not organisation or organisation.allotment is None:
-        _refuse_on_arrival(st, req, reason, {}, NO_TABLE_RETRY_AFTER_S)
+        # Of a newer table, which says whether the request may be sent.
+        _on_arrived(st, now_s, req, is_store_confirmed=False)
         return
     n_tokens = organisation.allotment.cost(req.n_stated_tokens)
     excess = allotment_handlers.excess(st, organisation, n_tokens, now_s)
     log_fields = {"path": req.path, **excess.log_fields}
-    _refuse_on_arrival(st, req, reason, log_fields, excess.retry_after_s)
+    _refuse_on_arrival(st, req, excess.reason, log_fields, excess.retry_after_s)
 
 
 def on_caller_gone(st: state.State, now_s: float, event: events.CallerGone) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_allotment_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_allotment_handlers.py
@@ -194,3 +194,17 @@
     assert answer(daemon, asked, asked.message.n_needed) == []
     assert not daemon.node.state.waiting_charges
     assert not daemon.node.state.allotments.charges
+
+
+def test_a_stopping_daemon_sends_callers_to_others():
+    daemon = make_daemon()
+    daemon.handle(events.StopAsked())
+    refusal = refusal_of(arrive(daemon, "1", 50_000))
+    assert refusal.reason is outcomes.Reason.STOPPING
+
+
+def test_a_key_that_is_removed_while_a_request_waits_is_not_charged(asking):
+    daemon, asked = asking
+    daemon.handle(events.TableRead(deployment.table(3)))
+    answer(daemon, asked, asked.message.n_needed)
+    assert not daemon.node.state.allotments.charges
