--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -129,8 +129,7 @@
         return None
     charged = allotment_handlers.charge(st, req, route, organisation, now_s)
     if isinstance(charged, allotment_handlers.Excess):
-        reason = outcomes.Reason.OVER_ALLOTMENT
-        return Denial(reason, charged.log_fields, charged.retry_after_s)
+        return Denial(charged.reason, charged.log_fields, charged.retry_after_s)
     return Waiting() if charged is allotment_handlers.Charge.WAITING else None
 
 
