Slow start: a window of requests in flight for servers that return

Cause: a server that has just returned has no open work, so all daemons send to it at the same moment, before they know of each other's requests. The answers of that flood are late, and the slowdown measured from them leaves the server idle for seconds afterwards.

Change: slow_start.SlowStart keeps a window of requests in flight over all daemons of a region for a server that has started, or is back after a lost path, a silence, a pause it asked for or an evacuation. It opens with answers in time and halves on refusals, losses and lateness, as each daemon sees and reports them (three optional trailing fields of ServerShare). What reports don't show yet is bounded by credit in proportion to a daemon's part. It takes effect only for services whose servers state a pace, or with NodeSettings.is_slow_start_forced.

--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -117,6 +117,9 @@
         "source",
     ),
     _counter("ingress_servers_put_aside", "Servers that got no new work.", "cause"),
+    _counter(
+        "ingress_slow_starts", "Windows that began, were halved or ended.", "step"
+    ),
     _counter("ingress_answers_over_bound", "Answers that exceeded a bound."),
     _counter("log_lines_dropped", "Log lines over the bound."),
     _counter("store_entries_unreadable", "Entries of the store left out.", "kind"),
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -15,6 +15,7 @@
     sending,
     server_table,
     server_word_handlers,
+    slow_start_handlers,
     state,
     take_ups,
 )
@@ -42,6 +43,7 @@
         server_word_handlers.on_shares(st, event.vm, event.message.by_server, now_s)
         path_handlers.on_shares(st, event.vm, event.message.by_server, now_s)
         st.servers.update_share(event.vm, event.message.by_server, now_s)
+        slow_start_handlers.on_shares(st, event.message.by_server, now_s)
         st.streams.learn(event.message.streams, event.vm, now_s)
     else:
         crash_handlers.on_report(st, event.message, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -49,6 +49,11 @@
         it has stated none.
     pace_age_s : float
         How long ago.
+    window : float or None
+        Requests in flight that the daemon allows all daemons there while the server
+        returns; None if it does not bound them.
+    n_in_time, n_out_of_time : int
+        Answers to the daemon since the last message that opened, or halved, the window.
     """
 
     n_open: int = 0
@@ -69,6 +74,9 @@
     n_limit_unnamed: int = 0
     stated_pace: float | None = None
     pace_age_s: float = 0.0
+    window: float | None = None
+    n_in_time: int = 0
+    n_out_of_time: int = 0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -27,6 +27,7 @@
     request_handlers,
     server_word_handlers,
     silence_handlers,
+    slow_start_handlers,
     state,
     take_ups,
 )
@@ -51,6 +52,8 @@
     st.versions.update(event.servers, now_s)
     for change in st.servers.update(event, st.table, now_s):
         st.emit(effects.LogStateChange("server", change))
+    for server in st.servers.take_new():
+        slow_start_handlers.on_returned(st, server, "start", now_s)
 
 
 def _on_entries(st: state.State, now_s: float, event: events.EntriesRead) -> None:
@@ -77,8 +80,12 @@
         domains |= st.servers.evacuated
     if domains == st.servers.evacuated:
         return
+    taken_back = st.servers.evacuated - domains
     st.servers.set_evacuated(domains, st.table, now_s)
     st.emit(effects.LogStateChange("evacuated", " ".join(sorted(domains))))
+    for server in st.servers.by_id.values():
+        if server.record.domain in taken_back:
+            slow_start_handlers.on_returned(st, server, "evacuation", now_s)
 
 
 def _on_stop(st: state.State, now_s: float, event: events.StopAsked) -> None:
@@ -103,6 +110,7 @@
     take_ups.on_tick(st, now_s)
     crash_handlers.on_tick(st, now_s)
     server_word_handlers.on_tick(st, now_s)
+    slow_start_handlers.on_tick(st, now_s)
 
 
 _HANDLERS: dict[type, Callable] = {
--- a/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
@@ -8,6 +8,7 @@
     events,
     load_messages,
     server_table,
+    slow_start_handlers,
     state,
 )
 
@@ -91,6 +92,7 @@
         st.emit(effects.LogStateChange("path", change))
         if not st.is_store_current:
             _doubt_start(st, server, now_s)
+        slow_start_handlers.on_path_back(st, server, now_s)
     server.path.record_connected()
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -20,6 +20,7 @@
     server_word_handlers,
     service_choice,
     silence_handlers,
+    slow_start_handlers,
     state,
     take_ups,
 )
@@ -173,8 +174,13 @@
         take_ups.record_origin(st, item, item.attempt, event.origin)
         take_ups.record(st, item, now_s)
     server = st.servers.by_id.get(item.attempt.server_id)
-    if server is not None:
-        server.record_first_byte((item.req.id, event.attempt_id), now_s)
+    if server is None:
+        return
+    key = (item.req.id, event.attempt_id)
+    took_s = server.record_first_byte(key, now_s)
+    if took_s is not None and event.is_committed:
+        sent = server.work.local_attempts[key]
+        slow_start_handlers.on_first_byte(st, server, took_s, sent, now_s)
 
 
 def on_attempt_ended(st: state.State, now_s: float, event: events.AttemptEnded) -> None:
@@ -294,6 +300,7 @@
     if hold_back is not None and not hold_back.is_trial_due:
         _hold_back(st, item, hold_back)
         return
+    st.servers.asked_s[item.service.name] = now_s
     choice = st.choose(st, item, now_s)
     if hold_back is not None:
         # Daemons of other regions would refuse it.
@@ -353,6 +360,9 @@
     server = st.servers.by_id.get(attempt.server_id)
     if server is None:
         return
+    sent = server.work.local_attempts.get((item.req.id, attempt.id))
+    if sent is not None:
+        slow_start_handlers.on_attempt_ended(st, server, event, sent, now_s)
     server.work.end((item.req.id, attempt.id))
     path_handlers.on_attempt_ended(st, server, event, now_s)
     server_word_handlers.on_turned_away(server, event, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -85,6 +85,8 @@
         pace=expected.pace,
     )
     server.record_sent((item.req.id, attempt.id), open_attempt, now_s)
+    server.start_window.record_sent(now_s)
+    st.servers.record_hold(record.service, expected.first_s + expected.stream_s)
     if prompt is not None and item.service.engine is not None:
         server.cache.add(prompt.parts, now_s)
         server.new_parts += [(part.id, part.n_tokens) for part in prompt.parts]
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -19,6 +19,7 @@
     server_path,
     server_room,
     server_words,
+    slow_start,
     warm_up,
 )
 
@@ -31,6 +32,8 @@
 last seven answers count."""
 MIN_SLOWDOWN, MAX_SLOWDOWN = 0.5, 10.0
 """Bounds of a server's measured slowdown relative to the estimate."""
+HOLD_GAIN = 0.1
+"""Smoothing factor of the time that a service's requests are in flight."""
 FAILURE_RATE_GAIN = 0.25
 """Smoothing factor of the failure rate: weight of the newest attempt."""
 FAILURE_RATE_HALF_LIFE_S = 3.0
@@ -60,6 +63,8 @@
     "n_limit_unnamed",
     "stated_pace",
     "pace_age_s",
+    "n_in_time",
+    "n_out_of_time",
 )
 """Fields of a share that tell what has happened since the message before."""
 _NO_COUNTS: dict[str, Any] = {
@@ -97,6 +102,7 @@
     limit : ServerLimit
     room : ServerRoom
     pace : ServerPace
+    start_window : SlowStart
     heard_s : float
         When it last began an answer to this daemon.
     lost_elsewhere_s : float
@@ -135,6 +141,7 @@
     limit: server_limit.ServerLimit = attrs.field(factory=server_limit.ServerLimit)
     room: server_room.ServerRoom = attrs.field(factory=server_room.ServerRoom)
     pace: server_pace.ServerPace = attrs.field(factory=server_pace.ServerPace)
+    start_window: slow_start.SlowStart = attrs.field(factory=slow_start.SlowStart)
     heard_s: float = -math.inf
     lost_elsewhere_s: float = -math.inf
     reached_elsewhere_s: float = -math.inf
@@ -275,6 +282,9 @@
             limit_per_s=self.limit.answered_per_s,
             is_unreachable=self.path.is_lost,
             brittle_per_s=self.room.answered_per_s,
+            window=round(self.start_window.window, 1)
+            if self.start_window.is_on
+            else None,
         )
 
     def with_counts(
@@ -287,6 +297,8 @@
             "n_reached": self.n_reached_unreported,
             "is_limit_named": self.limit.is_naming_unreported,
             "n_limit_unnamed": self.limit.n_unnamed_unreported,
+            "n_in_time": self.start_window.n_in_time,
+            "n_out_of_time": self.start_window.n_out_of_time,
         }
         if self.pace.is_unreported and self.pace.statement is not None:
             counts["stated_pace"] = self.pace.statement.pace
@@ -302,6 +314,8 @@
         self.room.n_unreported = 0
         self.n_reached_unreported = 0
         self.pace.is_unreported = False
+        self.start_window.n_in_time = 0
+        self.start_window.n_out_of_time = 0
 
     @property
     def has_own_word(self) -> bool:
@@ -311,6 +325,7 @@
             or self.limit.answered_per_s is not None
             or self.path.is_lost
             or self.room.answered_per_s is not None
+            or self.start_window.is_on
         )
 
     def takes_work(self, now_s: float, n_daemons: int) -> bool:
@@ -326,6 +341,7 @@
             not self.record.is_leaving
             and self.availability.is_open(now_s, self.work.local_sums.n_open)
             and self.limit.is_open(now_s)
+            and self.start_window.allows(self.work.sums.n_open, now_s)
             and self.room.is_open(
                 now_s,
                 self.work.sums.n_open,
@@ -352,6 +368,12 @@
     ----------
     n_daemons : int
         Daemons of the region that may send to its servers.
+    paced_services : set of str
+        Services of which a server has stated its pace.
+    asked_s : dict of str to float
+        When this daemon last placed a request for each service.
+    hold_s : dict of str to float
+        Smoothed estimate of how long a request to each service is in flight.
     """
 
     def __init__(self, domains: frozenset[str]):
@@ -361,7 +383,12 @@
         self.by_id: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
         self._ranks: dict[tuple[str, str], dict[str, int]] = {}
+        self.paced_services: set[str] = set()
+        self.asked_s: dict[str, float] = {}
+        self.hold_s: dict[str, float] = {}
         self._words = server_words.RememberedWords()
+        self._is_read = False
+        self._new: list[ServerState] = []
 
     def update(
         self,
@@ -382,8 +409,17 @@
             for server in self.by_id.values():
                 server.is_start_known = True
         self._rebuild_index()
+        if not self._is_read:
+            # What is there when the daemon starts hasn't just started.
+            self._is_read = bool(records)
+            self._new.clear()
         return changes
 
+    def take_new(self) -> list[ServerState]:
+        """Return the servers that were listed or started anew since the last call."""
+        new, self._new = self._new, []
+        return new
+
     def set_evacuated(
         self, domains: frozenset[str], table: ingress.RoutingTable | None, now_s: float
     ) -> None:
@@ -425,6 +461,11 @@
             self._ranks[service, key] = ranks
         return ranks
 
+    def record_hold(self, service: str, hold_s: float) -> None:
+        """Record how long a request to a service is expected to be in flight."""
+        before = self.hold_s.get(service, hold_s)
+        self.hold_s[service] = before + HOLD_GAIN * (hold_s - before)
+
     def forget_ranks(self) -> None:
         """Rank the servers anew, as the lasting pace of one has changed."""
         self._ranks.clear()
@@ -501,6 +542,7 @@
             if share.stated_pace is not None:
                 stated_s = now_s - max(0.0, share.pace_age_s)
                 source = server_pace.Source.NEIGHBOUR
+                self.paced_services.add(server.record.service)
                 if server.pace.record(share.stated_pace, stated_s, now_s, source):
                     self.forget_ranks()
             share = _without_counts(share)
@@ -558,6 +600,7 @@
             self._recall_words(server)
             self._take_over_brittleness(server, now_s)
             self.by_id[record.id] = server
+            self._new.append(server)
             return [f"{record.id} of {record.service} is there"]
         if server.record == record:
             return []
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -12,6 +12,7 @@
     server_availability,
     server_room,
     server_table,
+    slow_start_handlers,
     state,
 )
 
@@ -24,11 +25,15 @@
     server = st.servers.by_id.get(item.attempt.server_id)
     if server is None:
         return
+    silent_s = server.silent_s(now_s)
     server.record_heard(now_s)
+    slow_start_handlers.on_heard(st, server, silent_s, now_s)
     crash_handlers.on_server_said(st, server, now_s)
     stated_pace = event.load.pace if event.load is not None else None
-    if stated_pace is not None and server.pace.record(stated_pace, now_s, now_s):
-        st.servers.forget_ranks()
+    if stated_pace is not None:
+        st.servers.paced_services.add(server.record.service)
+        if server.pace.record(stated_pace, now_s, now_s):
+            st.servers.forget_ranks()
     said_to = item.req.caller_request_id
     if event.is_leaving and not server.availability.is_leaving:
         server.availability.record_leaving()
@@ -104,6 +109,9 @@
             del st.asked_until_s[server_id]
             change = f"{server_id} takes work again"
             st.emit(effects.LogStateChange("server", change))
+            server = st.servers.by_id.get(server_id)
+            if server is not None and not server.start_window.is_on:
+                slow_start_handlers.on_returned(st, server, "pause", now_s)
 
 
 def _record_asked(
--- a/packages/decisions/bilberryridge/decisions/ingress/silence_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/silence_handlers.py
@@ -11,6 +11,7 @@
     retrying,
     sending,
     server_table,
+    slow_start_handlers,
     state,
 )
 
@@ -62,6 +63,7 @@
     server = st.servers.by_id.get(attempt.server_id)
     if server is not None:
         server.record_result(1.0, now_s)
+        slow_start_handlers.on_timeout(st, server, now_s)
     sending.cancel(st, item)
     item.last_result = "silent"
     item.n_arrivals += 1
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -45,6 +45,9 @@
     allotment_window_s, allotment_overshoot, allotment_slack : float
         In any window, an organisation's requests may exceed its allotment by the
         fraction `allotment_overshoot` and by `allotment_slack` units.
+    is_slow_start_forced : bool
+        Whether servers that return get a window of requests in flight also where they
+        state no pace; see `slow_start_handlers`.
     """
 
     local_entry: ingress.EntryVm
@@ -56,6 +59,7 @@
     allotment_window_s: float = 8.0
     allotment_overshoot: float = 0.1
     allotment_slack: float = 0.0
+    is_slow_start_forced: bool = False
 
     @property
     def local_domains(self) -> frozenset[str]:
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -136,6 +136,9 @@
             share.n_limit_unnamed,
             share.stated_pace,
             share.pace_age_s,
+            share.window,
+            share.n_in_time,
+            share.n_out_of_time,
         ]
         for server_id, share in message.by_server.items()
     }
@@ -163,6 +166,9 @@
         # Daemons of older builds tell seven, eight, ten or thirteen values.
         brittle_per_s, n_turned_away = share[11:13] if len(share) > 12 else (None, 0)
         stated_pace, pace_age_s = share[16:18] if len(share) > 17 else (None, 0.0)
+        window, n_in_time, n_out_of_time = (
+            share[18:21] if len(share) > 20 else (None, 0, 0)
+        )
         leaving_start_ms = int(share[7]) if len(share) > 7 else 0
         limit_per_s, n_limited_sends = share[8:10] if len(share) > 9 else (None, 0)
         by_server[str(server_id)] = load_messages.ServerShare(
@@ -184,6 +190,9 @@
             int(share[15]) if len(share) > 15 else 0,
             None if stated_pace is None else float(stated_pace),
             float(pace_age_s),
+            None if window is None else float(window),
+            int(n_in_time),
+            int(n_out_of_time),
         )
     # Daemons of older builds tell no streams.
     streams = _unpack_streams(fields[1]) if len(fields) > 1 else ()
--- a/packages/standins/bilberryridge/standins/ingress_play/__main__.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/__main__.py
@@ -1,25 +1,11 @@
 """Compare placement rules: ``python -m bilberryridge.standins.ingress_play``."""
 
-import importlib
 import statistics
 from typing import Annotated
 
 import typer
 
-from bilberryridge.standins.ingress_play import baselines, callers, play
-
-PRODUCT = "bilberryridge.decisions.ingress"
-
-
-def _set_constants(changes: list[str]) -> None:
-    """Override constants, each given as ``MODULE.CONSTANT=VALUE``."""
-    for change in changes:
-        name, _, value = change.partition("=")
-        module_name, _, constant = name.partition(".")
-        module = importlib.import_module(f"{PRODUCT}.{module_name}")
-        if not hasattr(module, constant):
-            raise typer.BadParameter(f"unknown constant {name}")
-        setattr(module, constant, float(value))
+from bilberryridge.standins.ingress_play import baselines, callers, changes, play
 
 
 def _fast_enough_fraction(result: play.PlayResult, group: str) -> float:
@@ -46,7 +32,7 @@
     group that met the latency goal, the fraction without a complete answer, and the
     millions of prompt tokens that were recomputed and fetched.
     """
-    _set_constants(change)
+    changes.set_constants(change)
     regions = play.GROWN_REGIONS if grown else play.REGIONS
     if large:
         regions = play.LARGE_REGIONS
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -145,6 +145,7 @@
                 INTRA_REGION_DELAY_S, self._on_first, key, server.stated_load()
             ),
             lambda: self._call_later(INTRA_REGION_DELAY_S, self._on_complete, key),
+            lambda: self._call_later(INTRA_REGION_DELAY_S, self._on_lost, key),
             self._prefix_source(effect.fetch_from),
         )
         self._event_loop.after(INTRA_REGION_DELAY_S, lambda: self._deliver(server, key))
@@ -156,7 +157,12 @@
 
     def _deliver(self, server: servers.Server, key: tuple[str, int]) -> None:
         attempt = self._attempts.get(key)
-        if attempt is None or attempt.job is None or server.accept(attempt.job):
+        if attempt is None or attempt.job is None:
+            return
+        if server.is_away:
+            self._call_later(INTRA_REGION_DELAY_S, self._on_not_sent, key)
+            return
+        if server.accept(attempt.job):
             return
         self._call_later(INTRA_REGION_DELAY_S, self._on_not_run, key, None)
 
@@ -183,7 +189,8 @@
 
     def _probe(self, effect: effects.ProbeServer) -> None:
         record = effect.server
-        ended = node_events.ProbeEnded(record.id, record.start_time_ms, True)
+        is_connected = not self._servers_by_id[record.id].is_away
+        ended = node_events.ProbeEnded(record.id, record.start_time_ms, is_connected)
         self._call_later(INTRA_REGION_DELAY_S, self.handle, ended)
 
     def _cancel(self, effect: effects.CancelAttempt) -> None:
@@ -245,6 +252,26 @@
             self._remove_call(key[0])
             listener.on_complete()
 
+    def _on_not_sent(self, key: tuple[str, int]) -> None:
+        if self._attempts.pop(key, None) is not None:
+            result = node_events.AttemptResult.NOT_SENT
+            self.handle(node_events.AttemptEnded(*key, result))
+
+    def _on_lost(self, key: tuple[str, int]) -> None:
+        attempt = self._attempts.pop(key, None)
+        if attempt is None or key[0] not in self._calls:
+            return
+        is_committed = self._calls[key[0]][0].is_stream and attempt.first_s > 0
+        self.handle(
+            node_events.AttemptEnded(
+                *key,
+                node_events.AttemptResult.LOST,
+                is_committed=is_committed,
+                is_disconnected=True,
+                n_events=int(is_committed),
+            )
+        )
+
     def _on_not_run(self, key: tuple[str, int], retry_after_s: float | None) -> None:
         if self._attempts.pop(key, None) is None:
             return
--- a/packages/standins/bilberryridge/standins/ingress_play/paces.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/paces.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+START_PACE = 4.0
+"""Further multiple of a server that returns slow."""
+
 
 @attrs.frozen
 class Unevenness:
@@ -51,6 +54,7 @@
         paces = unevenness.lasting_paces
         self.lasting = paces[index % len(paces)]
         self.is_stated = unevenness.is_stated
+        self.slow_until_s = 0.0
         self._unevenness = unevenness
         self._dips_s: list[float] = []
         fraction = unevenness.dip_fraction
@@ -67,7 +71,8 @@
         """Return how long work takes at some time, as a multiple of the usual."""
         index = bisect.bisect_right(self._dips_s, now_s) - 1
         is_dip = index >= 0 and now_s < self._dips_s[index] + self._unevenness.dip_s
-        return self.lasting * (self._unevenness.dip_pace if is_dip else 1.0)
+        pace = self.lasting * (self._unevenness.dip_pace if is_dip else 1.0)
+        return pace * (START_PACE if now_s < self.slow_until_s else 1.0)
 
 
 STEADY = Pace(Unevenness((1.0,), 1.0, 0.0, 0.0, False), 0, random.Random(0), 0.0)
--- a/packages/standins/bilberryridge/standins/ingress_play/play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/play.py
@@ -71,6 +71,28 @@
 a region has one of each pace."""
 
 
+@attrs.frozen
+class Outage:
+    """A time in which servers are away, after which they start again.
+
+    Parameters
+    ----------
+    servers : frozenset of str
+    from_s, until_s : float
+    slow_s : float
+        Time after their return for which they are slow.
+    """
+
+    servers: frozenset[str]
+    from_s: float
+    until_s: float
+    slow_s: float = 0.0
+
+
+REGISTERED_WITHIN_S = 0.2
+"""Time until all daemons know of a server's new start."""
+
+
 @attrs.frozen
 class Load:
     """Load of a run.
@@ -85,6 +107,7 @@
     groups : tuple of Group
     unevenness : Unevenness or None
         None if all servers work as fast as usual.
+    outage : Outage or None
     """
 
     load_factor: float = 1.0
@@ -92,6 +115,7 @@
     regions: tuple[Region, ...] = REGIONS
     groups: tuple[callers.Group, ...] = callers.GROUPS
     unevenness: paces.Unevenness | None = None
+    outage: Outage | None = None
 
 
 def run(
@@ -120,6 +144,10 @@
     _connect_daemons(daemons_by_name, records, table_of(load.groups))
     for daemon in daemons_by_name.values():
         event_loop.every(daemons.TICK_S, daemon.tick, load.length_s + DRAIN_S)
+    if load.outage is not None:
+        _schedule_outage(
+            event_loop, load.outage, records, servers_by_id, daemons_by_name, seed
+        )
     outcomes = _schedule_arrivals(event_loop, load, daemons_by_name, seed)
     event_loop.run()
     engines = [s for s in servers_by_id.values() if isinstance(s, servers.EngineModel)]
@@ -261,6 +289,34 @@
                 daemon.handle(node_events.LinkUp(entry))
 
 
+def _schedule_outage(
+    event_loop: events.Loop,
+    outage: Outage,
+    records: tuple[ingress.BackendServer, ...],
+    servers_by_id: Mapping[str, servers.Server],
+    daemons_by_name: Mapping[str, daemons.Daemon],
+    seed: int,
+) -> None:
+    random_state = random.Random(f"{seed}-outage")
+    started = tuple(
+        attrs.evolve(r, start_time_ms=1) if r.id in outage.servers else r
+        for r in records
+    )
+
+    def return_server(server: servers.Server) -> None:
+        server.is_away = False
+        server.pace.slow_until_s = outage.until_s + outage.slow_s
+
+    for server_id in sorted(outage.servers):
+        server = servers_by_id[server_id]
+        event_loop.at(outage.from_s, server.go_away)
+        event_loop.at(outage.until_s, lambda server=server: return_server(server))  # type: ignore[misc]
+    for daemon in daemons_by_name.values():
+        known_s = outage.until_s + random_state.uniform(0.0, REGISTERED_WITHIN_S)
+        read = node_events.ServersRead(started)
+        event_loop.at(known_s, lambda daemon=daemon, read=read: daemon.handle(read))  # type: ignore[misc]
+
+
 def _schedule_arrivals(
     event_loop: events.Loop,
     load: Load,
--- a/packages/standins/bilberryridge/standins/ingress_play/servers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/servers.py
@@ -38,6 +38,8 @@
         Processing time at a plain server.
     on_first, on_end : callable
         Called with the first token and after the last.
+    on_lost : callable
+        Called if the server goes away before.
     prefix_source : EngineModel or None
         Engine from which cached parts of the prompt are fetched.
     n_prefill_tokens, n_done : int
@@ -52,6 +54,7 @@
     work_s: float
     on_first: Callable[[], None]
     on_end: Callable[[], None]
+    on_lost: Callable[[], None] = lambda: None
     prefix_source: "EngineModel | None" = None
     n_prefill_tokens: int = 0
     n_done: int = 0
@@ -64,7 +67,23 @@
 
 
 class Server(Protocol):
-    """A backend server."""
+    """A backend server.
+
+    Attributes
+    ----------
+    is_away : bool
+        Whether it accepts no connections.
+    accepted_s : list of float
+        When it accepted each job.
+    pace : Pace
+    """
+
+    pace: paces.Pace
+    is_away: bool
+    accepted_s: list[float]
+
+    def go_away(self) -> None:
+        """Lose all jobs, and what is cached."""
 
     def accept(self, job: Job) -> bool:
         """Accept a job; return False if the queue is full."""
@@ -124,7 +143,8 @@
         self.speed = speed
         self.pace = pace
         self.busy_s = 0.0
-        self.n_accepted = 0
+        self.is_away = False
+        self.accepted_s: list[float] = []
         self.n_recomputed_tokens = 0
         self.n_fetched_tokens = 0
         self._event_loop = event_loop
@@ -140,12 +160,20 @@
         """Accept a job; return False if the queue is full."""
         if len(self._waiting) >= MAX_WAITING:
             return False
-        self.n_accepted += 1
+        self.accepted_s.append(self._event_loop.now_s)
         heapq.heappush(self._waiting, (job.priority, next(self._numbers), job))
         if not self._is_stepping:
             self._step()
         return True
 
+    def go_away(self) -> None:
+        """See `Server`."""
+        self.is_away = True
+        _lose([row[2] for row in (*self._running, *self._waiting)])
+        self._waiting = []
+        self._cached.clear()
+        self._n_cached_tokens = 0
+
     def stated_load(self) -> node_events.ServerLoad | None:
         """See `Server`."""
         n_running, n_waiting = len(self._running), len(self._waiting)
@@ -264,21 +292,29 @@
     ):
         self.pace = pace
         self.busy_s = 0.0
-        self.n_accepted = 0
+        self.is_away = False
+        self.accepted_s: list[float] = []
         self._event_loop = event_loop
         self._n_slots = n_slots
         self._n_running = 0
+        self._running: list[Job] = []
         self._waiting: collections.deque[Job] = collections.deque()
 
     def accept(self, job: Job) -> bool:
         """Accept a job; return False if the queue is full."""
         if len(self._waiting) >= MAX_PLAIN_WAITING:
             return False
-        self.n_accepted += 1
+        self.accepted_s.append(self._event_loop.now_s)
         self._waiting.append(job)
         self._start_next()
         return True
 
+    def go_away(self) -> None:
+        """See `Server`."""
+        self.is_away = True
+        _lose([*self._running, *self._waiting])
+        self._waiting.clear()
+
     def stated_load(self) -> node_events.ServerLoad | None:
         """See `Server`."""
         n_running, n_waiting = self._n_running, len(self._waiting)
@@ -289,12 +325,14 @@
             job = self._waiting.popleft()
             if not job.is_over:
                 self._n_running += 1
+                self._running.append(job)
                 work_s = job.work_s * self.pace.at(self._event_loop.now_s)
                 self.busy_s += work_s
                 self._event_loop.after(work_s, lambda job=job: self._end(job))  # type: ignore[misc]
 
     def _end(self, job: Job) -> None:
         self._n_running -= 1
+        self._running.remove(job)
         if not job.is_over:
             job.is_over = True
             job.on_first()
@@ -302,6 +340,13 @@
         self._start_next()
 
 
+def _lose(jobs: list[Job]) -> None:
+    for job in jobs:
+        if not job.is_over:
+            job.is_over = True
+            job.on_lost()
+
+
 def _stated(
     event_loop: events.Loop,
     pace: paces.Pace,
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -286,6 +286,9 @@
         cause = effect.log_fields.get("cause")
         if cause is not None:
             self._counters.count("ingress_servers_put_aside", (cause,))
+        if effect.subject == "slow start":
+            step = effect.log_fields["step"]
+            self._counters.count("ingress_slow_starts", (step,))
         LOGGER.info("%s", effect.change, extra=extra)
 
     # Logs.
