--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -17,6 +17,7 @@
     sending,
     server_table,
     server_word_handlers,
+    slow_start_handlers,
     state,
     take_ups,
 )
@@ -44,6 +45,7 @@
         server_word_handlers.on_shares(st, event.vm, event.message.by_server, now_s)
         path_handlers.on_shares(st, event.vm, event.message.by_server, now_s)
         st.servers.update_share(event.vm, event.message.by_server, now_s)
+        slow_start_handlers.on_shares(st, event.message.by_server, now_s)
         st.streams.learn(event.message.streams, event.vm, now_s)
     elif isinstance(event.message, division_messages.Message):
         allotment_handlers.on_message(st, event.vm, event.message, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/path_handlers.py
@@ -9,6 +9,7 @@
     load_messages,
     server_starts,
     server_table,
+    slow_start_handlers,
     state,
 )
 
@@ -94,6 +95,7 @@
         server_starts.doubt(st, server, now_s)
         if not st.is_store_current:
             server_starts.doubt_as_cold(st, server, now_s)
+        slow_start_handlers.on_path_back(st, server, now_s)
     server.path.record_connected()
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -87,6 +87,8 @@
         pace=expected.pace,
     )
     server.record_sent((item.req.id, attempt.id), open_attempt, now_s)
+    server.start_window.record_sent(now_s)
+    st.servers.record_hold(record.service, expected.first_s + expected.stream_s)
     if prompt is not None and item.service.engine is not None:
         _record_prefill(st, item, choice, now_s)
         server.cache.add(prompt.parts, now_s)
