--- a/packages/daemon/bilberryridge/daemon/ingress_daemon.py
+++ b/packages/daemon/bilberryridge/daemon/ingress_daemon.py
@@ -32,6 +32,7 @@
 from bilberryridge.transport import settings
 from bilberryridge.transport.ingress import (
     connection_pool,
+    dialect,
     event_loop,
     gateway,
     port,
@@ -197,14 +198,15 @@
             idle_deadline_s=limits.idle_timeout_s,
         )
 
-    def _respond(self, method: str, target: str) -> responder.Answer:
+    def _respond(self, head: dialect.Head) -> responder.Answer:
+        target = head.target
         if self._platform.is_ready_target(target):
             return self._platform.respond_ready(self._node.is_ready())
         if target.startswith("/metrics"):
             self._record_proof_age()
             text = self._counters.render().encode()
             return responder.Answer(200, text, metrics.CONTENT_TYPE)
-        return self._platform.respond_directory(target, self._choose, DIRECTORY_TTL_S)
+        return self._platform.respond_directory(head, self._choose, DIRECTORY_TTL_S)
 
     def _record_proof_age(self) -> None:
         proof = self._node.state.proof
@@ -212,8 +214,12 @@
         if proof.bound_s is not None and age_s is not None:
             self._counters.set_gauge("configuration_proof_age_seconds", (), age_s)
 
-    def _choose(self, host: str, region: str, domain: str) -> list[ingress.EntryVm]:
-        return self._node.entries_for(self._loop.now_s(), host, region, domain)
+    def _choose(
+        self, host: str, region: str, domain: str, key_digest: bytes
+    ) -> list[ingress.EntryVm]:
+        return self._node.entries_for(
+            self._loop.now_s(), host, region, domain, key_digest
+        )
 
     def _on_reached(self, address: addresses.Address) -> None:
         host, port_number = address
