--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -61,12 +61,6 @@
     Organisation or Denial or None
         None where the routing table names no organisations or the route is public.
     """
-    return _check_proof(st, req, route) or _check_key(st, req, route)
-
-
-def _check_key(
-    st: state.State, req: ingress.Request, route: ingress.Route
-) -> ingress.Organisation | Denial | None:
     table = st.table
     if table is None or not table.organisations or route.is_public:
         return None
@@ -85,10 +79,25 @@
     return organisation
 
 
-def _check_proof(
+def check_proof(
     st: state.State, req: ingress.Request, route: ingress.Route
 ) -> Denial | None:
-    """Refuse a key, known or not, while the configuration isn't proven the newest."""
+    """Refuse a key, known or not, while the configuration isn't proven the newest.
+
+    Asked when a request arrives, before its key is looked up; further attempts of a
+    request that has been accepted need no proof.
+
+    Parameters
+    ----------
+    st : State
+    req : Request
+    route : Route
+
+    Returns
+    -------
+    Denial or None
+        None if the key may be looked up.
+    """
     if st.table is None or st.proof.is_valid(st.boot_s):
         return None
     if not configuration_proof.is_needed(st.table, route, req):
@@ -152,7 +161,7 @@
         Why no further attempt may be made; None if one may.
     """
     route = st.table and st.table.find(item.req.host, item.req.path)
-    checked = _check_key(st, item.req, route or item.route)
+    checked = check(st, item.req, route or item.route, now_s)
     if isinstance(checked, Denial):
         return checked
     item.organisation = checked
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -224,8 +224,11 @@
         table = self.state.table
         return table is not None and bool(table.organisations)
 
-    def refuse_head(self, now_s: float, req: ingress.Request) -> effects.Refuse | None:
+    def refuse_head(
+        self, now_s: float, req: ingress.Request, boot_s: float | None = None
+    ) -> effects.Refuse | None:
         """Return the refusal of a request by its key before its body is read."""
+        self.state.boot_s = now_s if boot_s is None else boot_s
         return request_handlers.refuse_head(self.state, now_s, req)
 
     def entries_for(
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -120,12 +120,19 @@
     route = st.table.find(req.host, req.path)
     if route is None:
         return None
-    checked = access.check(st, req, route, now_s)
+    checked = _check_access(st, req, route, now_s)
     if not isinstance(checked, access.Denial):
         return None
     return _refusal_by_denial(req, route, checked)
 
 
+def _check_access(
+    st: state.State, req: ingress.Request, route: ingress.Route, now_s: float
+) -> ingress.Organisation | access.Denial | None:
+    unproven = access.check_proof(st, req, route)
+    return unproven or access.check(st, req, route, now_s)
+
+
 def _on_arrived(
     st: state.State, now_s: float, req: ingress.Request, is_store_confirmed: bool
 ) -> None:
@@ -139,7 +146,7 @@
         log_fields = {"version": st.table.version, "host": req.host, "path": req.path}
         _refuse_on_arrival(st, req, outcomes.Reason.UNKNOWN_SERVICE, log_fields)
         return
-    organisation = access.check(st, req, route, now_s)
+    organisation = _check_access(st, req, route, now_s)
     if isinstance(organisation, access.Denial):
         st.emit(_refusal_by_denial(req, route, organisation))
         return
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -134,7 +134,8 @@
         if not self.node.names_organisations:
             return
         req = self._read_request(conn, head)
-        refused = self.node.refuse_head(self._loop.now_s(), req)
+        now_s, boot_s = self._loop.now_s(), self._loop.boot_s()
+        refused = self.node.refuse_head(now_s, req, boot_s)
         if refused is None:
             self._read_heads[conn] = req
             return
