--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_allotment_bound.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_allotment_bound.py
@@ -8,6 +8,7 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from bilberryridge.decisions.ingress import rate_division
@@ -150,3 +151,31 @@
         fleet.run_for(0.1)
     worst, worst_s = allotment_fleet.worst_window(fleet.taken("o"), BOUND.window_s)
     assert worst <= allotment_fleet.allowed(*HIGHEST, BOUND), worst_s
+
+
+def saturate(fleet, for_s, n_tokens):
+    ends_s = fleet.now_s + for_s
+    while fleet.now_s < ends_s:
+        for name in sorted(fleet.vms):
+            for _ in range(5):
+                fleet.request(name, "o", n_tokens, 0.3)
+        fleet.run_for(ASK_INTERVAL_S)
+
+
+@pytest.mark.parametrize("interval_s", [1.0, 3.5])
+def test_lenders_that_start_again_do_not_hold_what_they_lent(interval_s):
+    # Requests are large against a part, so that all shares are lent to one daemon.
+    fleet = allotment_fleet.Fleet(
+        {"east": 8}, random.Random(1), organisations(HIGHEST), bound=BOUND
+    )
+    fleet.run_for(3.0)
+    saturate(fleet, 2.0, 4_000)
+    by_share = sorted(
+        fleet.vms, key=lambda n: fleet.vms[n].node.log_fields("o", 0.0)["part"]
+    )
+    for _ in range(4):
+        for name in by_share[:-1]:
+            fleet.start(name)
+        saturate(fleet, interval_s, 4_000)
+    worst, worst_s = allotment_fleet.worst_window(fleet.taken("o"), BOUND.window_s)
+    assert worst <= exact_bound(*HIGHEST), worst_s
