Allotments: what other regions have is not underestimated

Change: such a region tells its part of the burst, and what is asked for counts.

Tests of the part pass.

--- a/packages/decisions/bilberryridge/decisions/ingress/token_exchange.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/token_exchange.py
@@ -107,6 +107,7 @@
     asked_s: float
     is_share: bool
     request_id: str = ""
+    n_wanted: float = 0.0
 
 
 @attrs.define
@@ -384,6 +385,7 @@
         n_expected = self.account.n_spendable(now_s)
         n_expected += per_s * (waiting.deadline_s - now_s)
         n_expected += sum(self._n_expected_at(peer, now_s) for peer in around.remote)
+        n_expected += sum(asked.n_wanted for asked in self._asked.values())
         return n_ahead + waiting.n_needed <= n_expected
 
     def _n_expected_at(self, peer: str, now_s: float) -> float:
@@ -426,8 +428,8 @@
             if now_s - last_s >= REMOTE_INTERVAL_S:
                 part = n_there / n_total if n_total > n_lacking else 1.0
                 self._remote_asked_s[peer] = now_s
-                asked = _Asked(peer, now_s, False)
-                self._ask(peer, asked, n_wanted=part * n_lacking)
+                asked = _Asked(peer, now_s, False, n_wanted=part * n_lacking)
+                self._ask(peer, asked, n_wanted=asked.n_wanted)
 
     def _lacking_per_s(self, now_s: float) -> float:
         limit = self.account.limit
@@ -531,6 +533,13 @@
         n_kept += sum(w.n_needed for w in self._waiting)
         return max(0.0, self.account.n_spendable(now_s) - n_kept)
 
+    def _n_left(self, now_s: float) -> float:
+        """Return what another region may expect beside what it gets."""
+        if now_s < self._active_until_s or not self._around.region:
+            return self._n_surplus(now_s)
+        # The shares of the region will be collected when more is asked for.
+        return self.account.limit.burst / (1 + len(self._around.remote))
+
     def _serve(self, now_s: float) -> None:
         """Serve what waits, in the order of arrival, as far as the tokens reach."""
         if not self._waiting:
@@ -574,7 +583,7 @@
             n_tokens,
             lasts_s=lapses_s - waiting.received_s,
             demand_per_s=self._all.at(now_s),
-            n_left=self._n_surplus(now_s),
+            n_left=self._n_left(now_s),
         )
         self.messages.append((waiting.peer, grant))
 
