--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_slow_start.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_slow_start.py
@@ -322,7 +322,7 @@
         assert region.most_open["s0"] <= 8
 
 
-@pytest.mark.parametrize("n_daemons", [3, 22])
+@pytest.mark.parametrize("n_daemons", [3, 22, 97])
 def test_cold_rate_holds_for_all_daemons_together(n_daemons):
     region = began(n_daemons, 3)
     region.restart("s0", warmup_s=3.0)
