--- a/packages/decisions/bilberryridge/decisions/ingress/regions.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/regions.py
@@ -18,9 +18,6 @@
 HERD_FACTOR = 1.5
 """Weight of this daemon's own requests since the last report: other daemons see the
 same loads and send requests to the region as well."""
-MAX_CLOSED_S = 0.4
-"""Longest time for which nothing is sent to a region that refused a request for lack of
-room; a newer report of its loads comes after 0.3 s."""
 DRAIN_FRACTION = 0.6
 """Fraction of its prefill rate at which a region is assumed to reduce its backlog; its
 own callers continue to send."""
@@ -37,14 +34,11 @@
         When the loads were received.
     sent_by_service : dict of str to (int, int)
         Number of requests and prompt tokens sent there since then, by service.
-    closed_until_s : dict of (str, bool) to float
-        Until when a service takes no more urgent, or other, requests there.
     """
 
     loads: load_messages.RegionLoads
     received_s: float
     sent_by_service: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    closed_until_s: dict[tuple[str, bool], float] = attrs.field(factory=dict)
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the loads were received."""
@@ -64,14 +58,11 @@
     ) -> estimates.Estimate | None:
         """Return the estimate for a request, including the network time.
 
-        None if the region has no usable server of the service, or has just refused such
-        a request for lack of room.
+        None if the region has no usable server of the service.
         """
         load = self.loads.by_service.get(service.name)
         if load is None or load.n_servers == 0:
             return None
-        if now_s < self.closed_until_s.get((service.name, is_urgent), 0.0):
-            return None
         n_requests, n_tokens = self.sent_by_service.get(service.name, (0, 0))
         unloaded_s = INTER_REGION_ROUND_TRIP_S + load.unloaded_first_s
         if service.engine is None or prompt is None:
@@ -82,8 +73,6 @@
         queue_s = self._backlog_s(load, rate, n_tokens, is_urgent, now_s)
         n_needed = HERD_FACTOR * n_tokens + prompt.n_tokens - load.n_free_tokens
         queue_s += max(0.0, n_needed) / estimates.FREED_TOKENS_PER_S
-        n_over = load.n_open + HERD_FACTOR * n_requests + 1 - load.n_slots
-        queue_s += max(0.0, n_over) * estimates.TYPICAL_STREAM_S / load.n_slots
         unloaded_s += BODY_S_PER_TOKEN * prompt.n_tokens
         n_shared = prompt.n_tokens - prompt.n_unshared_tokens
         n_prefill = prompt.n_unshared_tokens + int(UNCACHED_FRACTION * n_shared)
@@ -120,28 +109,7 @@
 
     def update(self, loads: load_messages.RegionLoads, now_s: float) -> None:
         """Store the loads that a region reported."""
-        before = self._views.get(loads.region)
-        view = self._views[loads.region] = RegionView(loads, now_s)
-        if before is not None:
-            view.closed_until_s = before.closed_until_s
-
-    def record_refused(
-        self,
-        region: str,
-        service: str,
-        is_urgent: bool,
-        retry_after_s: float,
-        now_s: float,
-    ) -> None:
-        """Record that a region refused a relayed request for lack of room.
-
-        The daemons of a region see the same loads of another one, and together send
-        more than it has room for.
-        """
-        view = self._views.get(region)
-        if view is not None:
-            closed_s = min(MAX_CLOSED_S, retry_after_s)
-            view.closed_until_s[service, is_urgent] = now_s + closed_s
+        self._views[loads.region] = RegionView(loads, now_s)
 
     def fresh(self, now_s: float) -> dict[str, RegionView]:
         """Return the regions whose loads are younger than `STALE_S`, by name."""
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -601,14 +601,6 @@
     others.
     """
     is_key_refused = event.status == UNAUTHENTICATED_STATUS
-    if event.retry_after_s is not None:
-        st.regions.record_refused(
-            attempt.region,
-            item.service.name,
-            item.is_urgent,
-            event.retry_after_s,
-            now_s,
-        )
     if event.retry_after_s is not None or is_key_refused:
         item.tried_regions.add(attempt.region)
     else:
