Load model of the tala and akiba deployments, with tables of who is served

Cause: the load model knew no organisations, no uneven or momentarily slow engines and no demand that moves between regions, and told only what was earned, so that it couldn't show who is refused under overload and what the engines' time is spent on.

A caller that leaves an unsafe request no longer ends the play with a KeyError. access.check returns the organisation that holds a key, and refuses nothing.

--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -42,4 +42,7 @@
     Organisation or Denial or None
         None where the routing table names no organisations or the route is public.
     """
-    return None
+    assert st.table is not None
+    if not st.table.organisations or route.is_public:
+        return None
+    return st.table.organisation_of_key(req.key_digest)
--- a/packages/standins/bilberryridge/standins/ingress_play/__main__.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/__main__.py
@@ -2,11 +2,13 @@
 
 import importlib
 import statistics
+import time
 from typing import Annotated
 
+import attrs
 import typer
 
-from bilberryridge.standins.ingress_play import baselines, callers, play
+from bilberryridge.standins.ingress_play import baselines, callers, overload, play
 
 PRODUCT = "bilberryridge.decisions.ingress"
 
@@ -31,6 +33,17 @@
     return sum(item.ended_s is None for item in result.outcomes) / len(result.outcomes)
 
 
+def _print_overload(load: play.Load, x: list[float], n_seeds: int) -> None:
+    for load_x in x:
+        for seed in range(n_seeds):
+            scaled = attrs.evolve(load, load_factor=load_x)
+            started_s = time.process_time()
+            result = play.run(scaled, seed)
+            took_s = time.process_time() - started_s
+            print(f"load {load_x:4} seed {seed}, {took_s:.0f} s of processor time")
+            overload.print_table(result, scaled)
+
+
 def main(
     x: Annotated[list[float], typer.Option(help="Times the usual load.")] = [1.0],  # noqa: B006
     n_seeds: Annotated[int, typer.Option(help="Plays of each rule.")] = 3,
@@ -38,6 +51,14 @@
     change: Annotated[list[str], typer.Option(help="MODULE.CONSTANT=VALUE.")] = [],  # noqa: B006
     grown: Annotated[bool, typer.Option(help="The grown deployment.")] = False,
     large: Annotated[bool, typer.Option(help="The large deployment.")] = False,
+    tala: Annotated[bool, typer.Option(help="Tables of the tala deployment.")] = False,
+    akiba: Annotated[bool, typer.Option(help="The same of akiba.")] = False,
+    admission: Annotated[bool, typer.Option(help="With admission.")] = False,
+    surge: Annotated[bool, typer.Option(help="One organisation sends 7.5x.")] = False,
+    steady: Annotated[bool, typer.Option(help="No moving peaks.")] = False,
+    outage: Annotated[bool, typer.Option(help="1 of 4 engines away for 5 s.")] = False,
+    leaving: Annotated[float, typer.Option(help="Callers that leave early.")] = 0.0,
+    n_attempts: Annotated[int, typer.Option(help="Requests of each caller.")] = 2,
     length_s: Annotated[float, typer.Option(help="Time in which requests come.")] = 34,
 ) -> None:
     """Print the means over all seeds for each load and placement rule.
@@ -47,6 +68,24 @@
     millions of prompt tokens that were recomputed and fetched.
     """
     _set_constants(change)
+    if tala or akiba:
+        load = play.TALA if tala else play.AKIBA
+        if surge:
+            organisations = attrs.evolve(load.organisations, surging=0)
+            load = attrs.evolve(load, organisations=organisations)
+        load = attrs.evolve(
+            load,
+            has_admission=admission,
+            demand=play.SteadyDemand() if steady else load.demand,
+            outage=play.Outage(0.25, 8.0, 5.0) if outage else None,
+            habits=callers.Habits(
+                n_attempts=n_attempts,
+                heeds_retry_after=n_attempts == callers.HABITS.n_attempts,
+                leaving_fraction=leaving,
+            ),
+        )
+        _print_overload(load, x, n_seeds)
+        return
     regions = play.GROWN_REGIONS if grown else play.REGIONS
     if large:
         regions = play.LARGE_REGIONS
--- a/packages/standins/bilberryridge/standins/ingress_play/callers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/callers.py
@@ -1,12 +1,13 @@
 """Models of callers: the requests they send and the outcome of each."""
 
+import functools
 import random
 from collections.abc import Sequence
 
 import attrs
 
 from bilberryridge.core import ingress
-from bilberryridge.standins.ingress_play import daemons
+from bilberryridge.standins.ingress_play import daemons, servers
 from bilberryridge.standins.queueing import events
 
 ZIPF_EXPONENT = 0.3
@@ -111,6 +112,46 @@
 """Request mix of the same cooperative's grown deployment."""
 
 
+TALA_GROUPS = (
+    attrs.evolve(
+        GROUPS[0],
+        name="long",
+        traffic_weight=66.0,
+        goal_s=2.5,
+        caller_timeout_s=12.2,
+        worth=1.0,
+        late_worth=0.3,
+        priority=2,
+        n_shared_parts=372,
+    ),
+    attrs.evolve(
+        GROUPS[1],
+        name="short",
+        traffic_weight=500.0,
+        caller_timeout_s=3.1,
+        worth=1.0,
+        late_worth=0.3,
+        n_shared_parts=2157,
+    ),
+    Group(
+        "order", 89.0, 0.6, 3.1, 0.4, 0.1, 1, ingress.RequestKind.UNSAFE, work_s=0.06
+    ),
+    Group("lookup", 62.0, 0.6, 3.1, 0.4, 0.1, 1, ingress.RequestKind.SAFE, work_s=0.06),
+)
+"""Request mix of the tala deployment. The sizes of prompts and answers, and with them
+that a long stream takes five to ten times the engine time of a short one, are those of
+the other mixes."""
+AKIBA_GROUPS = (
+    attrs.evolve(
+        TALA_GROUPS[0], traffic_weight=131, goal_s=0.85, caller_timeout_s=12.7
+    ),
+    attrs.evolve(TALA_GROUPS[1], traffic_weight=400, goal_s=0.6),
+    attrs.evolve(TALA_GROUPS[2], traffic_weight=133, goal_s=0.47, caller_timeout_s=6.2),
+    attrs.evolve(TALA_GROUPS[3], traffic_weight=53, goal_s=0.47, caller_timeout_s=6.2),
+)
+"""Request mix of the akiba deployment."""
+
+
 @attrs.define(eq=False)
 class Outcome:
     """Outcome of one request, as seen by its caller.
@@ -125,6 +166,13 @@
     n_refusals : int
     refused_after_s : float
         Time from the start to the last refusal.
+    answered_refusals_s : list of float
+        For each refusal, the time from that attempt's start.
+    left_s : float or None
+        Time from the start at which the caller left before its timeout.
+    organisation : str
+        Empty where there are none.
+    usage : Usage
     """
 
     group: Group
@@ -133,20 +181,58 @@
     ended_s: float | None = None
     n_refusals: int = 0
     refused_after_s: float = 0.0
+    answered_refusals_s: list[float] = attrs.field(factory=list)
+    left_s: float | None = None
+    organisation: str = ""
+    usage: servers.Usage = attrs.field(factory=servers.Usage)
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the caller had the answer within the latency goal."""
+        return self.earned == self.group.worth
 
     @property
     def earned(self) -> float:
-        """Value of the answer to the caller; 0 after the caller's timeout."""
-        if self.ended_s is None or self.ended_s > self.group.caller_timeout_s:
+        """Value of the answer to the caller; 0 after its timeout or once it left."""
+        if (
+            self.left_s is not None
+            or self.ended_s is None
+            or self.ended_s > self.group.caller_timeout_s
+        ):
             return 0.0
         useful_s = self.ended_s if self.first_s is None else self.first_s
         is_late = useful_s > self.group.goal_s
         return self.group.late_worth if is_late else self.group.worth
 
 
+@attrs.frozen
+class Habits:
+    """What callers do about refusals and slow answers.
+
+    Parameters
+    ----------
+    n_attempts : int
+        Requests that a caller sends at most.
+    heeds_retry_after : bool
+        Whether it waits for the time named in a refusal.
+    leaving_fraction : float
+        Fraction of the callers that don't wait until their timeout.
+    leaves_after_goals : float
+        Time after which these leave without an answer, in latency goals.
+    """
+
+    n_attempts: int = 2
+    heeds_retry_after: bool = True
+    leaving_fraction: float = 0.0
+    leaves_after_goals: float = 0.5
+
+
+HABITS = Habits()
+
+
 @attrs.define(eq=False)
 class Caller:
-    """A caller with one request, which it retries at most once after a refusal."""
+    """A caller with one request, which it retries after a refusal."""
 
     event_loop: events.Loop
     entries: Sequence[daemons.Daemon]
@@ -154,7 +240,16 @@
     outcome: Outcome
     name: str
     random_state: random.Random
-    n_attempts_left: int = 2
+    habits: Habits = HABITS
+    n_attempts_left: int = attrs.field(init=False)
+    _leaves: bool = attrs.field(init=False)
+    _attempt_s: float = attrs.field(init=False, default=0.0)
+
+    def __attrs_post_init__(self) -> None:
+        """Decide whether the caller leaves early."""
+        self.n_attempts_left = self.habits.n_attempts
+        fraction = self.habits.leaving_fraction
+        self._leaves = fraction > 0 and self.random_state.random() < fraction
 
     def send(self) -> None:
         """Send the request to a random daemon of the region."""
@@ -164,6 +259,7 @@
             + self.outcome.group.caller_timeout_s
             - self.event_loop.now_s
         )
+        self._attempt_s = self.event_loop.now_s
         req_id = f"{self.name}.{self.n_attempts_left}"
         daemon = self.random_state.choice(self.entries)
         req = ingress.Request(
@@ -173,9 +269,22 @@
             self.call.path,
             remaining_s,
             self.call.prompt,
+            key_digest=self.call.key_digest,
         )
         daemon.receive(req, self.call, self)
         self.event_loop.after(remaining_s, lambda: daemon.drop_caller(req_id))
+        if self._leaves and self.outcome.left_s is None:
+            group = self.outcome.group
+            leaves_s = group.goal_s * self.habits.leaves_after_goals
+            self.event_loop.after(leaves_s, lambda: self._leave(daemon, req_id))
+
+    def _leave(self, daemon: daemons.Daemon, req_id: str) -> None:
+        """Leave if no answer has begun."""
+        if self.outcome.first_s is not None or self.outcome.ended_s is not None:
+            return
+        if self.outcome.left_s is None:
+            self.outcome.left_s = self.event_loop.now_s - self.outcome.started_s
+        daemon.drop_caller(req_id)
 
     def on_first(self) -> None:
         """Record the time of the first token."""
@@ -189,7 +298,12 @@
         """Record the refusal; retry later if an attempt and enough time are left."""
         self.outcome.n_refusals += 1
         self.outcome.refused_after_s = self.event_loop.now_s - self.outcome.started_s
-        retry_s = DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s
+        self.outcome.answered_refusals_s.append(self.event_loop.now_s - self._attempt_s)
+        if self.outcome.left_s is not None:
+            return
+        retry_s = retry_after_s
+        if retry_s is None or not self.habits.heeds_retry_after:
+            retry_s = DEFAULT_RETRY_AFTER_S
         deadline_s = self.outcome.started_s + self.outcome.group.caller_timeout_s
         if (
             self.n_attempts_left
@@ -209,7 +323,7 @@
     n_own_tokens = round(
         min(_draw_lognormal(random_state, group.n_own_tokens, group.sigma), 54_000)
     )
-    weights = [1.0 / (n + 1) ** ZIPF_EXPONENT for n in range(group.n_shared_parts)]
+    weights = _part_weights(group.n_shared_parts)
     index = random_state.choices(range(group.n_shared_parts), weights)[0]
     # Seeded by the part's name: its length is the same for all callers.
     part_state = random.Random(f"{group.name}-{index}")
@@ -232,6 +346,11 @@
     )
 
 
+@functools.cache
+def _part_weights(n_parts: int) -> list[float]:
+    return [1.0 / (n + 1) ** ZIPF_EXPONENT for n in range(n_parts)]
+
+
 def _draw_lognormal(random_state: random.Random, mean: float, sigma: float) -> float:
     """Draw from a log-normal distribution with the given mean and sigma."""
     return mean * random_state.lognormvariate(-sigma * sigma / 2, sigma)
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -35,6 +35,9 @@
     priority, n_answer_tokens, work_s
         As in `servers.Job`.
     is_stream : bool
+    key_digest : bytes
+        Of its organisation's key; empty for none.
+    usage : Usage
     """
 
     path: str
@@ -43,6 +46,8 @@
     n_answer_tokens: int
     work_s: float
     is_stream: bool
+    key_digest: bytes = b""
+    usage: servers.Usage = attrs.field(factory=servers.Usage, eq=False)
 
 
 class AnswerListener(Protocol):
@@ -76,6 +81,7 @@
     servers_by_id : mapping of str to Server
     daemons_by_name : mapping of str to Daemon
         All daemons; the mapping may be filled after construction.
+    engine : Engine
     """
 
     def __init__(
@@ -85,7 +91,9 @@
         ingress_node: node.Node,
         servers_by_id: Mapping[str, servers.Server],
         daemons_by_name: Mapping[str, "Daemon"],
+        engine: ingress.Engine = ENGINE,
     ):
+        self._engine = engine
         self.entry = entry
         self._event_loop = event_loop
         self._node = ingress_node
@@ -93,11 +101,13 @@
         self._daemons_by_name = daemons_by_name
         self._calls: dict[str, tuple[Call, AnswerListener]] = {}
         self._attempts: dict[tuple[str, int], _Attempt] = {}
+        self._has_detached = False
         self._handlers: dict[type, Callable[[Any], None]] = {
             effects.SendToServer: self._send_to_server,
             effects.SendToPeer: self._send_to_peer,
             effects.ProbeServer: self._probe,
             effects.CancelAttempt: self._cancel,
+            effects.DetachCaller: self._detach,
             effects.PassAnswer: lambda effect: self._remove_call(
                 effect.request_id
             ).on_complete(),
@@ -108,6 +118,7 @@
             effects.SendPeerMessage: self._send_peer_message,
             effects.StoreReport: lambda effect: None,
             effects.LogStateChange: lambda effect: None,
+            effects.LogTakeUp: lambda effect: None,
         }
 
     def handle(self, event: node_events.Event) -> None:
@@ -128,8 +139,17 @@
 
     def drop_caller(self, request_id: str) -> None:
         """Tell the node that the caller has left, if the request is still open."""
-        if self._calls.pop(request_id, None) is not None:
-            self.handle(node_events.CallerGone(request_id))
+        if request_id not in self._calls:
+            return
+        call = self._calls[request_id][0]
+        self._calls[request_id] = (call, _NULL_LISTENER)
+        self._has_detached = False
+        self.handle(node_events.CallerGone(request_id))
+        if not self._has_detached:
+            self._calls.pop(request_id, None)
+
+    def _detach(self, effect: effects.DetachCaller) -> None:
+        self._has_detached = True
 
     def _send_to_server(self, effect: effects.SendToServer) -> None:
         call, _ = self._calls[effect.request_id]
@@ -143,6 +163,7 @@
             lambda: self._call_later(INTRA_REGION_DELAY_S, self._on_first, key),
             lambda: self._call_later(INTRA_REGION_DELAY_S, self._on_complete, key),
             self._prefix_source(effect.fetch_from),
+            call.usage,
         )
         server = self._servers_by_id[effect.server.id]
         self._event_loop.after(INTRA_REGION_DELAY_S, lambda: self._deliver(server, key))
@@ -174,6 +195,7 @@
             call.prompt,
             is_relayed=True,
             table_version=effect.table_version,
+            key_digest=call.key_digest,
         )
         peer = self._daemons_by_name[effect.entry.name]
         listener = _RelayListener(self, key)
@@ -224,7 +246,7 @@
         if attempt is None or key[0] not in self._calls:
             return
         call, listener = self._calls[key[0]]
-        n_per_event = ENGINE.n_tokens_per_event
+        n_per_event = self._engine.n_tokens_per_event
         ended = node_events.AttemptEnded(
             *key,
             node_events.AttemptResult.ANSWERED,
@@ -235,7 +257,7 @@
             n_events=-(-call.n_answer_tokens // n_per_event),
         )
         self.handle(ended)
-        if call.is_stream:
+        if call.is_stream or listener is _NULL_LISTENER:
             self._remove_call(key[0])
             listener.on_complete()
 
--- a/packages/standins/bilberryridge/standins/ingress_play/play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/play.py
@@ -1,7 +1,9 @@
 """One simulation run: arrivals, daemons, servers and the outcomes of requests."""
 
+import hashlib
 import random
 from collections.abc import Mapping
+from typing import Protocol
 
 import attrs
 
@@ -18,6 +20,8 @@
 PEAK_S, CYCLE_S = 14.0, 34.0
 """Length of a region's peak, and time from the start of one peak to the next."""
 N_PLAIN_SLOTS = 6
+RESUMABLE_GROUPS = ("digest", "long")
+"""Groups whose streams may go on at another engine."""
 
 
 @attrs.frozen
@@ -64,6 +68,170 @@
 """Large deployment of the same cooperative, with all of its daemons."""
 
 
+TALA_REGIONS = (
+    Region("ontario", 13, 36, 2, 301.0, 0.0),
+    Region("michigan", 8, 22, 2, 230.0, 8.0),
+    Region("ohio", 6, 12, 2, 186.0, 16.0),
+)
+"""The tala deployment, with a third of the real number of daemons."""
+AKIBA_REGIONS = (
+    Region("ontario", 15, 36, 2, 301.0, 0.0),
+    Region("michigan", 10, 22, 2, 230.0, 8.0),
+    Region("ohio", 7, 12, 2, 186.0, 16.0),
+)
+"""The akiba deployment, with a third of the real number of daemons."""
+
+
+class Demand(Protocol):
+    """How the request rate of a region varies."""
+
+    def factor(self, region: Region, now_s: float) -> float:
+        """Return the rate as a multiple of the region's mean rate."""
+
+
+class PeakedDemand:
+    """One region after another has its peak."""
+
+    def factor(self, region: Region, now_s: float) -> float:
+        """Return the rate as a multiple of the region's mean rate."""
+        since_s = (now_s - region.peak_start_s) % CYCLE_S
+        return PEAK_FACTOR if since_s < PEAK_S else OFF_PEAK_FACTOR
+
+
+class MovingDemand:
+    """The peak moves to the next region, which had a tenth of its mean, within 2 s.
+
+    Parameters
+    ----------
+    peak_factor : float
+        Rate at the peak, as a multiple of the mean.
+    """
+
+    CYCLE_S = 24.0
+    MOVING_S = 2.0
+
+    def __init__(self, peak_factor: float):
+        # A third of the time at the peak, a third at a tenth; the mean of all is 1.
+        self._levels = (peak_factor, 2.9 - peak_factor, 0.1)
+
+    def factor(self, region: Region, now_s: float) -> float:
+        """Return the rate as a multiple of the region's mean rate."""
+        phase_s = self.CYCLE_S / len(self._levels)
+        since_s = (now_s - region.peak_start_s) % self.CYCLE_S
+        index = int(since_s / phase_s)
+        level, before = self._levels[index], self._levels[index - 1]
+        moved = min(1.0, (since_s - index * phase_s) / self.MOVING_S)
+        return before + (level - before) * moved
+
+
+class SteadyDemand:
+    """All regions have their mean rate."""
+
+    def factor(self, region: Region, now_s: float) -> float:
+        """Return 1."""
+        return 1.0
+
+
+@attrs.frozen
+class Organisations:
+    """Organisations whose callers send the requests.
+
+    Parameters
+    ----------
+    n_organisations : int
+        0 for none.
+    zipf_exponent : float
+        Of the distribution of their requests.
+    n_at_home : int
+        How many of the smallest may be served in one region only.
+    surging : int or None
+        Index of one that sends more than usual, the largest being 0.
+    surge_factor : float
+    """
+
+    n_organisations: int = 0
+    zipf_exponent: float = 1.0
+    n_at_home: int = 0
+    surging: int | None = None
+    surge_factor: float = 7.5
+
+    @property
+    def names(self) -> list[str]:
+        """The names, that of the largest first."""
+        return [f"organisation-{n}" for n in range(self.n_organisations)]
+
+    @property
+    def weights(self) -> list[float]:
+        """Relative request rates."""
+        return [
+            1.0 / (n + 1) ** self.zipf_exponent * self._surge(n)
+            for n in range(self.n_organisations)
+        ]
+
+    @property
+    def rate_factor(self) -> float:
+        """Request rate of all, as a multiple of the rate without the surge."""
+        if self.surging is None:
+            return 1.0
+        usual = attrs.evolve(self, surging=None)
+        return sum(self.weights) / sum(usual.weights)
+
+    def records(self, regions: tuple[Region, ...]) -> tuple[ingress.Organisation, ...]:
+        """Return the organisations as the routing table names them."""
+        n_anywhere = self.n_organisations - self.n_at_home
+        return tuple(
+            ingress.Organisation(
+                name,
+                frozenset([key_digest(name)]),
+                frozenset([regions[index % len(regions)].name])
+                if index >= n_anywhere
+                else frozenset(),
+            )
+            for index, name in enumerate(self.names)
+        )
+
+    def _surge(self, index: int) -> float:
+        return self.surge_factor if index == self.surging else 1.0
+
+
+def key_digest(organisation: str) -> bytes:
+    """Return the digest of an organisation's only key."""
+    return hashlib.sha256(organisation.encode()).digest()
+
+
+@attrs.frozen
+class Outage:
+    """A part of the engines is lost for a time.
+
+    Parameters
+    ----------
+    fraction : float
+    start_s, length_s : float
+    """
+
+    fraction: float
+    start_s: float
+    length_s: float
+
+
+@attrs.frozen
+class ServerPaces:
+    """How unevenly fast the engines are; see `servers.SharedMachinePace`.
+
+    Parameters
+    ----------
+    slow_fraction, slow_factor : float
+        Fraction of the engines that are slower for good, and how much.
+    busy_factor, busy_s, busy_fraction : float
+    """
+
+    slow_fraction: float = 1 / 3
+    slow_factor: float = 1.3
+    busy_factor: float = 2.5
+    busy_s: float = 0.6
+    busy_fraction: float = 0.15
+
+
 @attrs.frozen
 class Load:
     """Load of a run.
@@ -76,12 +244,62 @@
         Simulated time in which requests arrive.
     regions : tuple of Region
     groups : tuple of Group
+    demand : Demand
+    engine, speed
+        Limits and speed of the engines.
+    paces : ServerPaces or None
+        None if all engines are equally fast.
+    organisations : Organisations
+    habits : Habits
+        Of the callers.
+    outage : Outage or None
+    has_admission : bool
+        Whether the daemons' settings ask for admission.
     """
 
     load_factor: float = 1.0
     length_s: float = 34.0
     regions: tuple[Region, ...] = REGIONS
     groups: tuple[callers.Group, ...] = callers.GROUPS
+    demand: Demand = attrs.field(factory=PeakedDemand)
+    engine: ingress.Engine = daemons.ENGINE
+    speed: servers.EngineSpeed = attrs.field(factory=servers.EngineSpeed)
+    paces: ServerPaces | None = None
+    organisations: Organisations = Organisations()
+    habits: callers.Habits = callers.HABITS
+    outage: Outage | None = None
+    has_admission: bool = False
+
+
+TALA = Load(
+    length_s=24.0,
+    regions=TALA_REGIONS,
+    groups=callers.TALA_GROUPS,
+    demand=MovingDemand(2.5),
+    engine=ingress.Engine(64, 474_583, 9),
+    speed=servers.EngineSpeed(
+        n_memory_tokens=474_583, step_s=0.00309, prefill_tokens_per_s=61_800.0
+    ),
+    paces=ServerPaces(),
+    organisations=Organisations(16, n_at_home=3),
+)
+"""Usual load of the tala deployment."""
+AKIBA = Load(
+    length_s=24.0,
+    regions=AKIBA_REGIONS,
+    groups=callers.AKIBA_GROUPS,
+    demand=MovingDemand(2.8),
+    engine=ingress.Engine(16, 511_299, 10),
+    speed=servers.EngineSpeed(
+        n_slots=16,
+        n_memory_tokens=511_299,
+        step_s=0.00341,
+        prefill_tokens_per_s=112_000.0,
+        n_queued=48,
+    ),
+    paces=ServerPaces(),
+)
+"""Usual load of the akiba deployment."""
 
 
 def run(
@@ -101,15 +319,19 @@
     records = _records(load)
     last_used_s: dict[str, dict[str, float]] = {r.name: {} for r in load.regions}
     servers_by_id = {
-        r.id: _new_server(event_loop, r, last_used_s[r.domain]) for r in records
+        r.id: _new_server(event_loop, load, r, last_used_s[r.domain], seed)
+        for r in records
     }
     daemons_by_name = _daemons(event_loop, load, servers_by_id, seed, choose)
-    _connect_daemons(daemons_by_name, records, table_of(load.groups))
+    table = table_of(load.groups, load.engine, load.organisations.records(load.regions))
+    _connect_daemons(daemons_by_name, records, table)
     for daemon in daemons_by_name.values():
         event_loop.every(daemons.TICK_S, daemon.tick, load.length_s + DRAIN_S)
     outcomes = _schedule_arrivals(event_loop, load, daemons_by_name, seed)
-    event_loop.run()
     engines = [s for s in servers_by_id.values() if isinstance(s, servers.EngineModel)]
+    if load.outage is not None:
+        _schedule_outage(event_loop, load.outage, daemons_by_name, records)
+    event_loop.run()
     return PlayResult(outcomes, engines)
 
 
@@ -146,7 +368,7 @@
     for region in load.regions:
         for n in range(region.n_engines):
             name = f"{region.name}-engine-{n}"
-            n_slots = daemons.ENGINE.n_slots
+            n_slots = load.engine.n_slots
             records.append(
                 ingress.BackendServer(name, "model", name, region.name, n_slots)
             )
@@ -160,15 +382,55 @@
 
 def _new_server(
     event_loop: events.Loop,
+    load: Load,
     record: ingress.BackendServer,
     last_used_s: dict[str, float],
+    seed: int,
 ) -> servers.Server:
     if record.service == "model":
-        return servers.EngineModel(event_loop, servers.EngineSpeed(), last_used_s)
+        pace = None
+        if load.paces is not None:
+            pace = _pace(load.paces, random.Random(f"{seed}-{record.id}"))
+        return servers.EngineModel(event_loop, load.speed, last_used_s, pace)
     return servers.PlainModel(event_loop, record.n_slots)
 
 
-def table_of(groups: tuple[callers.Group, ...]) -> ingress.RoutingTable:
+def _pace(paces: ServerPaces, random_state: random.Random) -> servers.Pace:
+    is_slow = random_state.random() < paces.slow_fraction
+    return servers.SharedMachinePace(
+        paces.slow_factor if is_slow else 1.0,
+        paces.busy_factor,
+        paces.busy_s,
+        paces.busy_fraction,
+        random_state,
+    )
+
+
+def _schedule_outage(
+    event_loop: events.Loop,
+    outage: Outage,
+    daemons_by_name: Mapping[str, daemons.Daemon],
+    records: tuple[ingress.BackendServer, ...],
+) -> None:
+    """Let engines leave and come back; those that leave end what they have begun."""
+    engine_ids = [record.id for record in records if record.service == "model"]
+    n_kept_of = round(1 / outage.fraction)
+    lost = frozenset(engine_ids[::n_kept_of])
+    kept = tuple(record for record in records if record.id not in lost)
+
+    def read(servers_read: tuple[ingress.BackendServer, ...]) -> None:
+        for daemon in daemons_by_name.values():
+            daemon.handle(node_events.ServersRead(servers_read))
+
+    event_loop.at(outage.start_s, lambda: read(kept))
+    event_loop.at(outage.start_s + outage.length_s, lambda: read(records))
+
+
+def table_of(
+    groups: tuple[callers.Group, ...],
+    engine: ingress.Engine = daemons.ENGINE,
+    organisations: tuple[ingress.Organisation, ...] = (),
+) -> ingress.RoutingTable:
     """Return a routing table with one route for each group."""
     routes = tuple(
         ingress.Route(
@@ -181,15 +443,15 @@
             latency_goal_s=group.goal_s,
             priority=group.priority,
             max_attempts=2 if group.priority else 1,
-            is_resumable=group.name == "digest",
+            is_resumable=group.name in RESUMABLE_GROUPS,
         )
         for group in groups
     )
     services = {
-        "model": ingress.Service("model", engine=daemons.ENGINE),
+        "model": ingress.Service("model", engine=engine),
         "desk": ingress.Service("desk"),
     }
-    return ingress.RoutingTable(1, routes, services)
+    return ingress.RoutingTable(1, routes, services, organisations=organisations)
 
 
 def entry_of(region: Region, number: int) -> ingress.EntryVm:
@@ -216,7 +478,12 @@
             cfg = state.NodeSettings(entry, region_by_domain)
             ingress_node = node.Node(cfg, random.Random(f"{seed}-{name}"), choose)
             daemons_by_name[name] = daemons.Daemon(
-                event_loop, entry, ingress_node, servers_by_id, daemons_by_name
+                event_loop,
+                entry,
+                ingress_node,
+                servers_by_id,
+                daemons_by_name,
+                load.engine,
             )
     return daemons_by_name
 
@@ -243,13 +510,18 @@
     seed: int,
 ) -> list[callers.Outcome]:
     outcomes: list[callers.Outcome] = []
+    organisations = load.organisations
+    names, org_weights = organisations.names, organisations.weights
     for region in load.regions:
         random_state = random.Random(f"{seed}-{region.name}")
         entries = [d for d in daemons_by_name.values() if d.entry.region == region.name]
         now_s = 0.0
         while True:
             rate = (
-                load.load_factor * region.requests_per_s * _peak_factor(region, now_s)
+                load.load_factor
+                * organisations.rate_factor
+                * region.requests_per_s
+                * load.demand.factor(region, now_s)
             )
             now_s += random_state.expovariate(rate)
             if now_s >= load.length_s:
@@ -258,15 +530,19 @@
             group = random_state.choices(load.groups, weights)[0]
             name = f"{region.name}-{len(outcomes)}"
             call = callers.draw_call(group, name, random_state)
-            item = callers.Outcome(group, now_s)
+            item = callers.Outcome(group, now_s, usage=call.usage)
+            if organisations.n_organisations:
+                item.organisation = random_state.choices(names, org_weights)[0]
+                call = attrs.evolve(call, key_digest=key_digest(item.organisation))
             outcomes.append(item)
             caller = callers.Caller(
-                event_loop, entries, call, item, name, random.Random(f"{seed}-{name}")
+                event_loop,
+                entries,
+                call,
+                item,
+                name,
+                random.Random(f"{seed}-{name}"),
+                load.habits,
             )
             event_loop.at(now_s, caller.send)
     return outcomes
-
-
-def _peak_factor(region: Region, now_s: float) -> float:
-    since_s = (now_s - region.peak_start_s) % CYCLE_S
-    return PEAK_FACTOR if since_s < PEAK_S else OFF_PEAK_FACTOR
--- a/packages/standins/bilberryridge/standins/ingress_play/servers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/servers.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 import math
+import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -21,6 +22,19 @@
 """Queue limit of a plain server, as in present deployments."""
 
 
+@attrs.define(eq=False)
+class Usage:
+    """Engine time that a request has used, over all its attempts.
+
+    Parameters
+    ----------
+    engine_s : float
+        Its prefill, and its part of each decoding step that it took part in.
+    """
+
+    engine_s: float = 0.0
+
+
 @attrs.define(eq=False)
 class Job:
     """A request at a server; no callback is called once `is_over` is set.
@@ -38,6 +52,7 @@
         Called with the first token and after the last.
     prefix_source : EngineModel or None
         Engine from which cached parts of the prompt are fetched.
+    usage : Usage
     n_prefill_tokens, n_done : int
         Prompt tokens still to prefill, and answer tokens generated.
     is_over : bool
@@ -51,6 +66,7 @@
     on_first: Callable[[], None]
     on_end: Callable[[], None]
     prefix_source: "EngineModel | None" = None
+    usage: Usage = attrs.field(factory=Usage)
     n_prefill_tokens: int = 0
     n_done: int = 0
     is_over: bool = False
@@ -84,6 +100,8 @@
         Maximum of prompt tokens that one step prefills.
     first_s : float
         Delay added to the first token and to the end of each answer.
+    n_queued : int
+        Queue limit; the engine rejects requests above it.
     """
 
     n_slots: int = 64
@@ -94,6 +112,61 @@
     prefill_tokens_per_s: float = 57_000.0
     chunk_tokens: int = 4096
     first_s: float = 0.013
+    n_queued: int = MAX_WAITING
+
+
+class Pace(Protocol):
+    """How long work takes at a server, as a multiple of the usual."""
+
+    def factor(self, now_s: float) -> float:
+        """Return the multiple at a time; times never decrease between calls."""
+
+
+class UsualPace:
+    """A server on which work always takes the usual time."""
+
+    def factor(self, now_s: float) -> float:
+        """Return 1."""
+        return 1.0
+
+
+class SharedMachinePace:
+    """A server whose machine others use at times.
+
+    Parameters
+    ----------
+    lasting_factor : float
+        Multiple that always applies.
+    busy_factor, busy_s, busy_fraction : float
+        Further multiple while others use the machine, mean length of such a time, and
+        fraction of all time.
+    random_state : random.Random
+    """
+
+    def __init__(
+        self,
+        lasting_factor: float,
+        busy_factor: float,
+        busy_s: float,
+        busy_fraction: float,
+        random_state: random.Random,
+    ):
+        self._lasting_factor = lasting_factor
+        self._busy_factor = busy_factor
+        self._mean_s = {True: busy_s, False: busy_s * (1 / busy_fraction - 1)}
+        self._random_state = random_state
+        self._is_busy = random_state.random() < busy_fraction
+        self._changes_s = self._draw_s()
+
+    def factor(self, now_s: float) -> float:
+        """Return the multiple at a time; times never decrease between calls."""
+        while now_s >= self._changes_s:
+            self._is_busy = not self._is_busy
+            self._changes_s += self._draw_s()
+        return self._lasting_factor * (self._busy_factor if self._is_busy else 1.0)
+
+    def _draw_s(self) -> float:
+        return self._random_state.expovariate(1 / self._mean_s[self._is_busy])
 
 
 class EngineModel:
@@ -106,11 +179,17 @@
     last_used_s : dict of str to float
         Time at which an engine of the region last used each prompt part; shared by all
         engines of the region.
+    pace : Pace
     """
 
     def __init__(
-        self, event_loop: events.Loop, speed: EngineSpeed, last_used_s: dict[str, float]
+        self,
+        event_loop: events.Loop,
+        speed: EngineSpeed,
+        last_used_s: dict[str, float],
+        pace: Pace | None = None,
     ):
+        self._pace = pace or UsualPace()
         self.speed = speed
         self.n_recomputed_tokens = 0
         self.n_fetched_tokens = 0
@@ -125,7 +204,7 @@
 
     def accept(self, job: Job) -> bool:
         """Accept a job; return False if the queue is full."""
-        if len(self._waiting) >= MAX_WAITING:
+        if len(self._waiting) >= self.speed.n_queued:
             return False
         heapq.heappush(self._waiting, (job.priority, next(self._numbers), job))
         if not self._is_stepping:
@@ -139,13 +218,17 @@
         if not self._running:
             return
         decoding = [row[2] for row in self._running if not row[2].n_prefill_tokens]
-        n_prefilled_tokens = self._prefill()
         speed = self.speed
+        factor = self._pace.factor(self._event_loop.now_s)
+        n_prefilled_tokens = self._prefill(factor / speed.prefill_tokens_per_s)
         n_context = sum(job.n_memory_tokens for job in decoding)
         step_s = speed.step_s + speed.step_s_per_slot * len(decoding)
         step_s += speed.step_s_per_k_tokens * n_context / 1000
+        used_s = factor * step_s / len(decoding) if decoding else 0.0
         step_s += n_prefilled_tokens / speed.prefill_tokens_per_s
-        self._event_loop.after(step_s, lambda: self._end_step(decoding))
+        self._event_loop.after(
+            factor * step_s, lambda: self._end_step(decoding, used_s)
+        )
 
     def _admit(self) -> None:
         n_used = sum(row[2].n_memory_tokens for row in self._running)
@@ -194,12 +277,13 @@
         self.n_fetched_tokens += part.n_tokens
         return True
 
-    def _prefill(self) -> int:
+    def _prefill(self, s_per_token: float) -> int:
         n_left = self.speed.chunk_tokens
         for _, _, job in sorted(self._running, key=lambda row: row[:2]):
             n_taken = min(n_left, job.n_prefill_tokens)
             job.n_prefill_tokens -= n_taken
             n_left -= n_taken
+            job.usage.engine_s += n_taken * s_per_token
             if n_taken and not job.n_prefill_tokens and job.prompt is not None:
                 self._cache_prompt(job.prompt)
         return self.speed.chunk_tokens - n_left
@@ -220,8 +304,9 @@
             n_used -= row[2].n_memory_tokens
             heapq.heappush(self._waiting, row)
 
-    def _end_step(self, decoding: list[Job]) -> None:
+    def _end_step(self, decoding: list[Job], used_s: float) -> None:
         for job in decoding:
+            job.usage.engine_s += used_s
             if job.is_over:
                 continue
             job.n_done += 1
