Admission: the daemons of a region divide a capacity that is not enough

Cause: each request was placed alone.

Change: where the settings list the contract 'pressure', daemons report the offered work with their loads and divide the capacity of each service: a minimum for each route, then by priority, within a priority max-min shares by organisation, returned callers before new ones. The rest overflows to regions that are not rationed or is refused at once. Without the setting nothing changes, and messages have no further field. design/0014-admission.md.

--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -106,6 +106,7 @@
     _counter("ingress_requests", "Requests read.", "way"),
     _counter("ingress_bad_input", "Requests refused as they were read.", "reason"),
     _counter("ingress_refused", "Requests refused.", "reason"),
+    _counter("ingress_rationed", "Requests refused for the sake of others."),
     _counter("ingress_sends", "Attempts sent.", "way"),
     _counter("ingress_attempts", "Attempts that ended.", "result"),
     _counter("ingress_streams_cut", "Streams that could not be finished."),
--- a/packages/decisions/bilberryridge/decisions/ingress/estimates.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/estimates.py
@@ -79,6 +79,17 @@
     return Estimate(FIRST_TOKEN_S * server.slowdown(True) + wait_s, wait_s)
 
 
+def queue_s(
+    server: server_table.ServerState, engine: ingress.Engine | None, is_urgent: bool
+) -> float:
+    """Estimate how long an empty prompt waits for others if the server isn't slow."""
+    total = server.work.sums
+    if engine is None:
+        return _at_plain(server, total, is_urgent).queue_s
+    n_before = n_tokens_ahead(total.n_pending_tokens, total.n_urgent_tokens, is_urgent)
+    return _slot_wait_s(total, engine) + n_before / prefill_load.TOKENS_PER_S
+
+
 def at_server(
     server: server_table.ServerState,
     engine: ingress.Engine | None,
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -43,6 +43,8 @@
         path_handlers.on_shares(st, event.vm, event.message.by_server, now_s)
         st.servers.update_share(event.vm, event.message.by_server, now_s)
         st.streams.learn(event.message.streams, event.vm, now_s)
+        if event.message.offered is not None:
+            st.admission.on_report(event.vm, event.message.offered, now_s)
     else:
         crash_handlers.on_report(st, event.message, now_s)
 
@@ -66,6 +68,7 @@
     if not st.members.link_down(event.vm, event.incarnation, now_s):
         return
     st.servers.remove_peer(event.vm)
+    st.admission.remove_peer(event.vm)
     st.emit(effects.LogStateChange("peer", f"{event.vm} is not linked"))
 
 
@@ -94,9 +97,10 @@
 ) -> None:
     shares = st.servers.changed_shares(now_s)
     streams = st.streams.take_unreported()
-    if not shares and not streams:
+    offered = st.admission.take_report(now_s)
+    if not shares and not streams and not offered:
         return
-    message = load_messages.DaemonLoads(shares, streams)
+    message = load_messages.DaemonLoads(shares, streams, offered)
     for entry in local_peers:
         st.emit(effects.SendPeerMessage(entry.name, message))
 
@@ -137,7 +141,8 @@
         if servers and not st.is_stopping:
             by_service[service.name] = _service_load(service, servers, now_s)
     region = st.cfg.local_entry.region
-    return load_messages.RegionLoads(region, by_service, frozenset(cut_off))
+    rationed = frozenset(name for name in by_service if st.admission.is_rationed(name))
+    return load_messages.RegionLoads(region, by_service, frozenset(cut_off), rationed)
 
 
 def _reached(
--- a/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bilberryridge.decisions.ingress import stream_origins
+from bilberryridge.decisions.ingress import admission, stream_origins
 
 
 @attrs.frozen
@@ -74,10 +74,13 @@
         Only servers whose share has changed since the last message.
     streams : tuple of StreamRecord
         Streams that began there since the last message.
+    offered : Offered or None
+        Work that callers offer the daemon; None if that isn't due or not asked for.
     """
 
     by_server: dict[str, ServerShare]
     streams: tuple[stream_origins.StreamRecord, ...] = ()
+    offered: admission.Offered | None = None
 
 
 @attrs.frozen
@@ -125,8 +128,11 @@
         Of the servers that any daemon of the region reaches.
     cut_off : frozenset of str
         VMs of the region that have lost their paths to all servers of a service.
+    rationed : frozenset of str
+        Services whose servers can't serve all callers of the region.
     """
 
     region: str
     by_service: dict[str, ServiceLoad]
     cut_off: frozenset[str] = frozenset()
+    rationed: frozenset[str] = frozenset()
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -17,6 +17,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    admission_handlers,
     crash_handlers,
     directory,
     effects,
@@ -98,6 +99,7 @@
         _count_daemons(st, now_s)
     request_handlers.on_tick(st, now_s)
     st.members.remove_expired(now_s)
+    admission_handlers.on_tick(st, now_s)
     load_handlers.on_tick(st, now_s)
     path_handlers.on_tick(st, now_s)
     take_ups.on_tick(st, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -50,9 +50,15 @@
 """Fraction of the remaining latency goal that an estimate may take. At high load nine
 of ten urgent requests are answered faster than estimated; others are overtaken by
 urgent ones that arrive later, and nine of ten take up to 1.6 times the estimate."""
+RATIONED_URGENT_GOAL_FRACTION = 0.7
+"""The same of an urgent request where the capacity is divided: the queues stay as long
+as they are, so that estimates are exceeded more often."""
 LATE_QUEUE_FRACTION = 0.4
 """Maximum queueing time, in latency goals, of a request that will miss its goal because
 of its size or an earlier refusal: it only uses spare capacity."""
+MAX_OVERFLOW_QUEUE_FRACTION = 0.1
+"""Maximum queueing time, in latency goals, in another region to which requests overflow
+that are refused here: a refusal from there would be late."""
 RESUME_WITHIN_S = 4.0
 """Longest time to the first byte when a stream is resumed or taken up; callers
 disconnect after 6 s of silence."""
@@ -129,12 +135,15 @@
         The part of `expected_s` that is spent waiting for other requests.
     stream_s : float
         Time from the first byte to the end of a stream.
+    admitted_fraction : float or None
+        Fraction of such requests that are admitted; None if this one was.
     """
 
     expected_s: float | None
     retry_after_s: float
     queue_s: float = 0.0
     stream_s: float = 0.0
+    admitted_fraction: float | None = None
 
 
 Choice = ServerChoice | PeerChoice | NoCapacity
@@ -170,6 +179,17 @@
     )
 
 
+def choose_with_room(
+    st: state.State, item: state.OpenRequest, now_s: float
+) -> PeerChoice | None:
+    """Choose another region with room beyond what its own callers need."""
+    remote = _best_remote(st, item, now_s)
+    if remote is None or not _is_fast_enough(item, remote.expected, now_s):
+        return None
+    max_queue_s = MAX_OVERFLOW_QUEUE_FRACTION * item.route.latency_goal_s
+    return remote if remote.expected.queue_s <= max_queue_s else None
+
+
 def _best_in_region(
     st: state.State, item: state.OpenRequest, now_s: float
 ) -> ServerChoice | PeerChoice | None:
@@ -425,6 +445,9 @@
         ]
         if region in item.tried_regions or not entries or not item.allows(region):
             continue
+        is_local_allowed = item.allows(st.cfg.local_entry.region)
+        if is_local_allowed and item.service.name in view.loads.rationed:
+            continue
         if item.origin is not None and not st.versions.serves(region, item.origin):
             continue
         prompt = item.remaining_prompt
@@ -466,6 +489,8 @@
 def _max_first_s(item: state.OpenRequest, now_s: float) -> float:
     """Return the longest estimate of the first byte that meets the latency goal."""
     goal_fraction = URGENT_GOAL_FRACTION if item.is_urgent else GOAL_FRACTION
+    if item.is_urgent and item.is_rationed:
+        goal_fraction = RATIONED_URGENT_GOAL_FRACTION
     return goal_fraction * item.remaining_goal_s(now_s)
 
 
@@ -483,6 +508,9 @@
         return expected.first_s <= RESUME_WITHIN_S
     if expected.first_s <= _max_first_s(item, now_s):
         return True
+    if item.is_rationed:
+        # There is no spare capacity, and others would miss their goals for it.
+        return False
     return expected.queue_s <= LATE_QUEUE_FRACTION * item.route.latency_goal_s
 
 
@@ -502,7 +530,7 @@
     returns_in_s = st.servers.returns_s(item.service.name) - now_s
     if not math.isfinite(returns_in_s):
         returns_in_s = 0.0
-    return max(0.0, returns_in_s) + _jittered(st, NO_SERVER_RETRY_AFTER_S)
+    return max(0.0, returns_in_s) + jittered(st, NO_SERVER_RETRY_AFTER_S)
 
 
 def _retry_after_s(
@@ -511,9 +539,9 @@
     """Return the time after which such a request is expected to be accepted."""
     excess_s = expected.queue_s - LATE_QUEUE_FRACTION * item.route.latency_goal_s
     bounded_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s))
-    return _jittered(st, bounded_s)
+    return jittered(st, bounded_s)
 
 
-def _jittered(st: state.State, seconds: float) -> float:
+def jittered(st: state.State, seconds: float) -> float:
     """Return a randomized time, so that callers don't retry all at once."""
     return seconds * st.random_state.uniform(0.8, 1.4)
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -8,6 +8,7 @@
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
     access,
+    admission_handlers,
     crash_handlers,
     effects,
     events,
@@ -294,7 +295,7 @@
     if hold_back is not None and not hold_back.is_trial_due:
         _hold_back(st, item, hold_back)
         return
-    choice = st.choose(st, item, now_s)
+    choice = admission_handlers.place(st, item, now_s)
     if hold_back is not None:
         # Daemons of other regions would refuse it.
         if not isinstance(choice, placement.ServerChoice):
@@ -321,6 +322,8 @@
         "stream_s": round(choice.stream_s, 3),
         "waited_s": round(item.waited_s, 3),
     }
+    if choice.admitted_fraction is not None:
+        log_fields = {"admitted": round(choice.admitted_fraction, 3)}
     retry_after_s: float | None = choice.retry_after_s
     if st.is_stopping and not item.req.is_relayed:
         # Other entry VMs have more time.
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -9,6 +9,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    admission,
     crash_reports,
     crashing_requests,
     effects,
@@ -45,6 +46,9 @@
     allotment_window_s, allotment_overshoot, allotment_slack : float
         In any window, an organisation's requests may exceed its allotment by the
         fraction `allotment_overshoot` and by `allotment_slack` units.
+    has_admission : bool
+        Whether requests are refused for the sake of others when the servers can't serve
+        all; see `admission`.
     """
 
     local_entry: ingress.EntryVm
@@ -56,6 +60,7 @@
     allotment_window_s: float = 8.0
     allotment_overshoot: float = 0.1
     allotment_slack: float = 0.0
+    has_admission: bool = False
 
     @property
     def local_domains(self) -> frozenset[str]:
@@ -150,6 +155,10 @@
         The open attempt.
     organisation : Organisation or None
         The organisation that holds the caller's key; None where none is needed.
+    is_offered : bool
+        Whether its work has been counted in the division of the capacity.
+    is_rationed : bool
+        Whether it was admitted while others were refused for its sake.
     tried_servers, tried_peers, tried_regions : set of str
         Servers, daemons and regions that were sent the request already.
     """
@@ -176,6 +185,8 @@
     n_events: int = 0
     attempt: Attempt | None = None
     organisation: ingress.Organisation | None = None
+    is_offered: bool = False
+    is_rationed: bool = False
     tried_servers: set[str] = attrs.field(factory=set)
     tried_peers: set[str] = attrs.field(factory=set)
     tried_regions: set[str] = attrs.field(factory=set)
@@ -288,6 +299,7 @@
         self.budget = retry_budget.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self.admission = admission.Admission()
         self.daemons_counted_s = float("-inf")
         self.quarantine = quarantine.Quarantine()
         self.crashing_requests = crashing_requests.CrashingRequests()
--- a/packages/peers/bilberryridge/peers/link_codec.py
+++ b/packages/peers/bilberryridge/peers/link_codec.py
@@ -16,6 +16,7 @@
 from bilberryridge.core import ingress
 from bilberryridge.decisions import store_watchers
 from bilberryridge.decisions.ingress import (
+    admission,
     crash_reports,
     load_messages,
     stream_origins,
@@ -23,6 +24,9 @@
 from bilberryridge.peers import codec
 from bilberryridge.store import mirror
 
+MAX_WORK_PER_S = 1e4
+"""Servers that one daemon's callers may keep busy; one core forwards less."""
+
 
 @attrs.frozen
 class Hello:
@@ -141,7 +145,56 @@
         [stream.id, stream.origin.service, stream.origin.version]
         for stream in message.streams
     ]
-    return [fields_by_server, streams]
+    offered = _pack_offered(message.offered)
+    return _without_last_empty([fields_by_server, streams, offered], 2)
+
+
+def _without_last_empty(fields: list[Any], n_always: int) -> list[Any]:
+    """Leave out empty optional fields at the end of a message."""
+    while len(fields) > n_always and not fields[-1]:
+        fields.pop()
+    return fields
+
+
+def _pack_offered(offered: admission.Offered | None) -> list[Any] | None:
+    if offered is None:
+        return None
+    flows = [
+        [flow.service, flow.route, flow.priority, flow.standing.value, work]
+        for flow, work in offered.flows
+    ]
+    sharers = [
+        [sharer.service, sharer.priority, sharer.name, work]
+        for sharer, work in offered.sharers
+    ]
+    return [flows, sharers]
+
+
+def _work(value: Any) -> float:
+    """Return offered work; an absurd value would take the capacity from all others."""
+    work = float(value)
+    if not 0.0 <= work <= MAX_WORK_PER_S:
+        raise ValueError(f"work offered: {work}")
+    return work
+
+
+def _unpack_offered(fields: list[Any] | None) -> admission.Offered | None:
+    if fields is None:
+        return None
+    flows = tuple(
+        (
+            admission.Flow(
+                str(service), str(route), int(priority), admission.Standing(standing)
+            ),
+            _work(work),
+        )
+        for service, route, priority, standing, work, *_ in fields[0]
+    )
+    sharers = tuple(
+        (admission.Sharer(str(service), int(priority), str(name)), _work(work))
+        for service, priority, name, work, *_ in fields[1]
+    )
+    return admission.Offered(flows, sharers)
 
 
 def _unpack_streams(rows: list[Any]) -> tuple[stream_origins.StreamRecord, ...]:
@@ -182,14 +235,17 @@
         )
     # Daemons of older builds tell no streams.
     streams = _unpack_streams(fields[1]) if len(fields) > 1 else ()
-    return load_messages.DaemonLoads(by_server, streams)
+    offered = _unpack_offered(fields[2]) if len(fields) > 2 else None
+    return load_messages.DaemonLoads(by_server, streams, offered)
 
 
 def _pack_region_loads(message: load_messages.RegionLoads) -> list[Any]:
     fields_by_service = {
         name: attrs.astuple(load) for name, load in message.by_service.items()
     }
-    return [message.region, fields_by_service, sorted(message.cut_off)]
+    cut_off, rationed = sorted(message.cut_off), sorted(message.rationed)
+    fields = [message.region, fields_by_service, cut_off, rationed]
+    return _without_last_empty(fields, 3)
 
 
 def _unpack_region_loads(fields: list[Any]) -> load_messages.RegionLoads:
@@ -217,9 +273,11 @@
             int(n_free),
             float(inter_token_s),
         )
-    # Daemons of older builds name no VMs.
+    # Daemons of older builds name no VMs, or no services.
     cut_off = frozenset(str(vm) for vm in fields[2]) if len(fields) > 2 else frozenset()
-    return load_messages.RegionLoads(str(fields[0]), by_service, cut_off)
+    names = fields[3] if len(fields) > 3 else ()
+    rationed = frozenset(str(name) for name in names)
+    return load_messages.RegionLoads(str(fields[0]), by_service, cut_off, rationed)
 
 
 def _pack_changes(message: StoreChanges) -> list[Any]:
--- a/packages/peers/bilberryridge/peers/tests/test_link_codec.py
+++ b/packages/peers/bilberryridge/peers/tests/test_link_codec.py
@@ -7,6 +7,7 @@
 from bilberryridge.core import ingress
 from bilberryridge.decisions import store_watchers
 from bilberryridge.decisions.ingress import (
+    admission,
     crash_reports,
     load_messages,
     stream_origins,
@@ -34,6 +35,10 @@
 )
 LOADS = load_messages.DaemonLoads({"s1": SHARE})
 STREAM = stream_origins.StreamRecord("r1", ingress.StreamOrigin("model", "v1"))
+OFFERED = admission.Offered(
+    ((admission.Flow("model", "chat", 2, admission.Standing.RETURNED), 0.25),),
+    ((admission.Sharer("model", 2, "a"), 0.25),),
+)
 CHANGES = mirror.Changes(
     9, (mirror.Item("a", b"\x00", 8), mirror.Deletion("b", 9)), False, era=4
 )
@@ -46,6 +51,8 @@
         load_messages.DaemonLoads({}),
         load_messages.RegionLoads("east", {}, frozenset(["vm-1", "vm-2"])),
         load_messages.DaemonLoads({"s1": SHARE}, (STREAM,)),
+        load_messages.DaemonLoads({}, (), OFFERED),
+        load_messages.RegionLoads("east", {}, rationed=frozenset(["model"])),
         store_watchers.StorePosition(4, 9, 0.25, True),
         link_codec.ChangesRequest(9, 4),
         link_codec.StoreChanges(CHANGES, True, since=7),
@@ -81,6 +88,21 @@
     assert decoded.by_server["s1"] == attrs.evolve(SHARE, **unknown)
 
 
+def test_reports_of_the_build_before_tell_nothing_of_admission():
+    kind, *fields = cbor2.loads(link_codec.encode(LOADS))
+    assert link_codec.decode(cbor2.dumps([kind, *fields[:2]])).offered is None
+    decoded = link_codec.decode(cbor2.dumps(["region", "east", {}, []]))
+    assert decoded.rationed == frozenset()
+
+
+@pytest.mark.parametrize("work", [-1.0, float("nan"), float("inf"), 1e9])
+def test_absurd_work_is_an_error(work):
+    """It would take the capacity from all other callers of the region."""
+    offered = [[], [["model", 0, "a", work]]]
+    with pytest.raises(codec.CodecError):
+        link_codec.decode(cbor2.dumps(["domain", {}, [], offered]))
+
+
 def test_answer_to_the_build_before_has_the_fields_that_it_decodes():
     changes = mirror.Changes(9, (), False)
     encoded = link_codec.encode(link_codec.StoreChanges(changes, True, has_era=False))
--- a/packages/standins/bilberryridge/standins/ingress_play/play.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/play.py
@@ -475,7 +475,9 @@
         for n in range(region.n_daemons):
             entry = entry_of(region, n)
             name = entry.name
-            cfg = state.NodeSettings(entry, region_by_domain)
+            cfg = state.NodeSettings(
+                entry, region_by_domain, has_admission=load.has_admission
+            )
             ingress_node = node.Node(cfg, random.Random(f"{seed}-{name}"), choose)
             daemons_by_name[name] = daemons.Daemon(
                 event_loop,
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -262,6 +262,8 @@
         }
         self._log("refuse", effect.request_id, log_fields)
         self._counters.count("ingress_refused", (refusal.reason.value,))
+        if "admitted" in effect.log_fields:
+            self._counters.count("ingress_rationed")
         ex = self._exchanges[effect.request_id]
         ex.refuse(refusal, effect.is_server_reached)
         self._remove(ex, refusal.reason.value)
