--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -128,6 +128,7 @@
         "organisation",
         "result",
     ),
+    _counter("ingress_rationed", "Requests refused for the sake of others."),
     _counter("ingress_sends", "Attempts sent.", "way"),
     _counter("ingress_attempts", "Attempts that ended.", "result"),
     _counter("ingress_streams_cut", "Streams that could not be finished."),
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -10,6 +10,7 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
+    admission,
     allotments,
     configuration_proof,
     crash_reports,
@@ -53,6 +54,9 @@
     is_slow_start_forced : bool
         Whether servers that return get a window of requests in flight also where they
         state no pace; see `slow_start_handlers`.
+    has_admission : bool
+        Whether requests are refused for the sake of others when the servers can't serve
+        all; see `admission`.
     """
 
     local_entry: ingress.EntryVm
@@ -65,6 +69,7 @@
     allotment_overshoot: float = 0.1
     allotment_slack: float = 0.0
     is_slow_start_forced: bool = False
+    has_admission: bool = False
 
     @property
     def local_domains(self) -> frozenset[str]:
@@ -181,6 +186,10 @@
         Until when it may wait for the store's word on servers' starts; None before.
     unsure : UnsureStart or None
         What began the stream while its start was in doubt.
+    is_offered : bool
+        Whether its work has been counted in the division of the capacity.
+    is_rationed : bool
+        Whether it was admitted while others were refused for its sake.
     tried_servers, tried_peers, tried_regions : set of str
         Servers, daemons and regions that were sent the request already.
     """
@@ -210,6 +219,8 @@
     organisation: ingress.Organisation | None = None
     starts_awaited_until_s: float | None = None
     unsure: UnsureStart | None = None
+    is_offered: bool = False
+    is_rationed: bool = False
     tried_servers: set[str] = attrs.field(factory=set)
     tried_peers: set[str] = attrs.field(factory=set)
     tried_regions: set[str] = attrs.field(factory=set)
@@ -362,6 +373,7 @@
         )
         self.allotments_counted_s = float("-inf")
         self.waiting_charges: dict[str, WaitingCharge] = {}
+        self.admission = admission.Admission()
         self.daemons_counted_s = float("-inf")
         self.quarantine = quarantine.Quarantine()
         self.crashing_requests = crashing_requests.CrashingRequests()
--- a/packages/standins/bilberryridge/standins/ingress_play/servers.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/servers.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 import math
+import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -23,6 +24,19 @@
 """Queue limit of a plain server, as in present deployments."""
 
 
+@attrs.define(eq=False)
+class Usage:
+    """Engine time that a request has used, over all its attempts.
+
+    Parameters
+    ----------
+    engine_s : float
+        Its prefill, and its part of each decoding step that it took part in.
+    """
+
+    engine_s: float = 0.0
+
+
 @attrs.define(eq=False)
 class Job:
     """A request at a server; no callback is called once `is_over` is set.
@@ -42,6 +56,7 @@
         Called if the server goes away before.
     prefix_source : EngineModel or None
         Engine from which cached parts of the prompt are fetched.
+    usage : Usage
     n_prefill_tokens, n_done : int
         Prompt tokens still to prefill, and answer tokens generated.
     is_over : bool
@@ -56,6 +71,7 @@
     on_end: Callable[[], None]
     on_lost: Callable[[], None] = lambda: None
     prefix_source: "EngineModel | None" = None
+    usage: Usage = attrs.field(factory=Usage)
     n_prefill_tokens: int = 0
     n_done: int = 0
     is_over: bool = False
@@ -66,6 +82,30 @@
         return (self.prompt.n_tokens if self.prompt else 0) + self.n_done
 
 
+class Pace(Protocol):
+    """Pace of a server over simulated time.
+
+    Attributes
+    ----------
+    lasting : float
+        Multiple of the usual time of work that always applies.
+    is_stated : bool
+        Whether the server states its pace in answers.
+    slow_until_s : float
+        Until when a server that has returned is slow.
+    """
+
+    lasting: float
+    is_stated: bool
+    slow_until_s: float
+
+    def at(self, now_s: float) -> float:
+        """Return how long work takes at some time, as a multiple of the usual.
+
+        Times never decrease between calls.
+        """
+
+
 class Server(Protocol):
     """A backend server.
 
@@ -78,7 +118,7 @@
     pace : Pace
     """
 
-    pace: paces.Pace
+    pace: Pace
     is_away: bool
     accepted_s: list[float]
 
@@ -108,6 +148,8 @@
         Maximum of prompt tokens that one step prefills.
     first_s : float
         Delay added to the first token and to the end of each answer.
+    n_queued : int
+        Queue limit; the engine rejects requests above it.
     """
 
     n_slots: int = 64
@@ -118,6 +160,53 @@
     prefill_tokens_per_s: float = 57_000.0
     chunk_tokens: int = 4096
     first_s: float = 0.013
+    n_queued: int = MAX_WAITING
+
+
+class SharedMachinePace:
+    """Pace of a server whose machine others use at times, and which states none.
+
+    Parameters
+    ----------
+    lasting_factor : float
+        Multiple that always applies.
+    busy_factor, busy_s, busy_fraction : float
+        Further multiple while others use the machine, mean length of such a time, and
+        fraction of all time.
+    random_state : random.Random
+    """
+
+    def __init__(
+        self,
+        lasting_factor: float,
+        busy_factor: float,
+        busy_s: float,
+        busy_fraction: float,
+        random_state: random.Random,
+    ):
+        self.lasting = lasting_factor
+        self.is_stated = False
+        self.slow_until_s = 0.0
+        self._busy_factor = busy_factor
+        self._mean_s = {True: busy_s, False: busy_s * (1 / busy_fraction - 1)}
+        self._random_state = random_state
+        self._is_busy = random_state.random() < busy_fraction
+        self._changes_s = self._draw_s()
+
+    def at(self, now_s: float) -> float:
+        """See `Pace`."""
+        is_slow = now_s < self.slow_until_s
+        return self.factor(now_s) * (paces.START_PACE if is_slow else 1.0)
+
+    def factor(self, now_s: float) -> float:
+        """Return the multiple without that of a return; see `at` for the times."""
+        while now_s >= self._changes_s:
+            self._is_busy = not self._is_busy
+            self._changes_s += self._draw_s()
+        return self.lasting * (self._busy_factor if self._is_busy else 1.0)
+
+    def _draw_s(self) -> float:
+        return self._random_state.expovariate(1 / self._mean_s[self._is_busy])
 
 
 class EngineModel:
@@ -138,7 +227,7 @@
         event_loop: events.Loop,
         speed: EngineSpeed,
         last_used_s: dict[str, float],
-        pace: paces.Pace = paces.STEADY,
+        pace: Pace = paces.STEADY,
     ):
         self.speed = speed
         self.pace = pace
@@ -158,7 +247,7 @@
 
     def accept(self, job: Job) -> bool:
         """Accept a job; return False if the queue is full."""
-        if len(self._waiting) >= MAX_WAITING:
+        if len(self._waiting) >= self.speed.n_queued:
             return False
         self.accepted_s.append(self._event_loop.now_s)
         heapq.heappush(self._waiting, (job.priority, next(self._numbers), job))
@@ -188,15 +277,17 @@
         if not self._running:
             return
         decoding = [row[2] for row in self._running if not row[2].n_prefill_tokens]
-        n_prefilled_tokens = self._prefill()
         speed = self.speed
+        factor = self.pace.at(self._event_loop.now_s)
+        n_prefilled_tokens = self._prefill(factor / speed.prefill_tokens_per_s)
         n_context = sum(job.n_memory_tokens for job in decoding)
         step_s = speed.step_s + speed.step_s_per_slot * len(decoding)
         step_s += speed.step_s_per_k_tokens * n_context / 1000
+        used_s = factor * step_s / len(decoding) if decoding else 0.0
         step_s += n_prefilled_tokens / speed.prefill_tokens_per_s
-        step_s *= self.pace.at(self._event_loop.now_s)
+        step_s *= factor
         self.busy_s += step_s
-        self._event_loop.after(step_s, lambda: self._end_step(decoding))
+        self._event_loop.after(step_s, lambda: self._end_step(decoding, used_s))
 
     def _admit(self) -> None:
         n_used = sum(row[2].n_memory_tokens for row in self._running)
@@ -245,12 +336,13 @@
         self.n_fetched_tokens += part.n_tokens
         return True
 
-    def _prefill(self) -> int:
+    def _prefill(self, s_per_token: float) -> int:
         n_left = self.speed.chunk_tokens
         for _, _, job in sorted(self._running, key=lambda row: row[:2]):
             n_taken = min(n_left, job.n_prefill_tokens)
             job.n_prefill_tokens -= n_taken
             n_left -= n_taken
+            job.usage.engine_s += n_taken * s_per_token
             if n_taken and not job.n_prefill_tokens and job.prompt is not None:
                 self._cache_prompt(job.prompt)
         return self.speed.chunk_tokens - n_left
@@ -271,8 +363,9 @@
             n_used -= row[2].n_memory_tokens
             heapq.heappush(self._waiting, row)
 
-    def _end_step(self, decoding: list[Job]) -> None:
+    def _end_step(self, decoding: list[Job], used_s: float) -> None:
         for job in decoding:
+            job.usage.engine_s += used_s
             if job.is_over:
                 continue
             job.n_done += 1
@@ -288,7 +381,7 @@
     """A server with a fixed number of slots and a bounded queue."""
 
     def __init__(
-        self, event_loop: events.Loop, n_slots: int, pace: paces.Pace = paces.STEADY
+        self, event_loop: events.Loop, n_slots: int, pace: Pace = paces.STEADY
     ):
         self.pace = pace
         self.busy_s = 0.0
@@ -349,7 +442,7 @@
 
 def _stated(
     event_loop: events.Loop,
-    pace: paces.Pace,
+    pace: Pace,
     n_running: int,
     n_waiting: int,
     n_slots: int,
--- a/packages/standins/bilberryridge/standins/ingress_play/uneven.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/uneven.py
@@ -138,7 +138,7 @@
     changes.set_constants(change)
     outage = None
     if away:
-        outage = play.Outage(_servers_away(away), AWAY_FROM_S, AWAY_UNTIL_S, slow_s)
+        outage = play.Restart(_servers_away(away), AWAY_FROM_S, AWAY_UNTIL_S, slow_s)
     regions = tuple(
         attrs.evolve(region, n_daemons=daemons_x * region.n_daemons)
         for region in play.UNEVEN_REGIONS
