--- a/packages/decisions/bilberryridge/decisions/ingress/admission.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/admission.py
@@ -93,7 +93,7 @@
     """The region's own callers of the same priority go first."""
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Flow:
     """Requests of one route, priority and standing.
 
@@ -110,7 +110,7 @@
     standing: Standing
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Sharer:
     """Whom shares within a priority are for.
 
@@ -377,7 +377,6 @@
         elapsed_s = min(DIVISION_INTERVAL_S * 2, now_s - service.updated_s)
         service.updated_s = now_s
         before = service.is_rationed
-        flows, sharers = self._offered(service_name, n_daemons, now_s)
         room = queueing.room(_is_urgent_rationed(service.division))
         change = math.exp(INTEGRAL_GAIN_PER_S * room * elapsed_s)
         if before:
@@ -385,9 +384,12 @@
         elif room > 0:
             # Otherwise the next overload would begin with what a disturbance has left.
             service.factor = max(service.factor, min(1.0, service.factor * change))
+        if not before and room > START_ROOM:
+            return False
+        flows, sharers = self._offered(service_name, n_daemons, now_s)
         usable = service.factor * capacity * (1.0 + PROPORTIONAL_GAIN * room)
         is_exceeded = sum(flows.values()) > usable
-        service.is_rationed = is_exceeded and (before or room <= START_ROOM)
+        service.is_rationed = is_exceeded
         service.division = Division()
         if service.is_rationed:
             service.division = divide(flows, sharers, usable)
