--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -8,6 +8,7 @@
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
     access,
+    admission_handlers,
     allotment_handlers,
     crash_handlers,
     effects,
@@ -437,7 +438,7 @@
         _give_up(st, item, outcomes.Reason.ANSWER_LOST, log_fields, None)
         return
     st.servers.asked_s[item.service.name] = now_s
-    choice = st.choose(st, item, now_s)
+    choice = admission_handlers.place(st, item, now_s)
     if server_starts.await_store(st, item, choice, now_s):
         return
     if hold_back is not None:
@@ -466,6 +467,8 @@
         "stream_s": round(choice.stream_s, 3),
         "waited_s": round(item.waited_s, 3),
     }
+    if choice.admitted_fraction is not None:
+        log_fields = {"admitted": round(choice.admitted_fraction, 3)}
     retry_after_s: float | None = choice.retry_after_s
     if st.is_stopping and not item.req.is_relayed:
         # Other entry VMs have more time.
