--- a/packages/core/bilberryridge/core/ingress.py
+++ b/packages/core/bilberryridge/core/ingress.py
@@ -144,15 +144,15 @@
     idle_timeout_s: float = 15.0
 
 
-class AllotmentUnit(enum.Enum):
-    """What an allotment counts."""
+class QuotaUnit(enum.Enum):
+    """What a quota counts."""
 
     REQUESTS = "requests"
     TOKENS = "tokens"
 
 
 @attrs.frozen
-class Allotment:
+class Quota:
     """What an organisation may use, over all daemons together.
 
     Parameters
@@ -161,27 +161,27 @@
         In units a second.
     burst : float
         Units that may be used at once after a time without use.
-    unit : AllotmentUnit
+    unit : QuotaUnit
     n_plain_tokens : int
         Tokens that a request counts for if it doesn't state its own number.
 
     Examples
     --------
-    >>> allotment = Allotment(1e6, 1e6, AllotmentUnit.TOKENS, n_plain_tokens=200)
-    >>> allotment.cost(12_400), allotment.cost(None)
+    >>> quota = Quota(1e6, 1e6, QuotaUnit.TOKENS, n_plain_tokens=200)
+    >>> quota.cost(12_400), quota.cost(None)
     (12400.0, 200.0)
-    >>> Allotment(10.0, 20.0).cost(12_400)
+    >>> Quota(10.0, 20.0).cost(12_400)
     1.0
     """
 
     rate_per_s: float
     burst: float
-    unit: AllotmentUnit = AllotmentUnit.REQUESTS
+    unit: QuotaUnit = QuotaUnit.REQUESTS
     n_plain_tokens: int = 1
 
     def cost(self, n_stated_tokens: int | None) -> float:
         """Return the units that a request counts for."""
-        if self.unit is AllotmentUnit.REQUESTS:
+        if self.unit is QuotaUnit.REQUESTS:
             return 1.0
         return float(
             self.n_plain_tokens if n_stated_tokens is None else n_stated_tokens
@@ -190,7 +190,7 @@
 
 @attrs.frozen
 class Organisation:
-    """Callers that share keys, an allotment and allowed regions.
+    """Callers that share keys, a quota and allowed regions.
 
     Parameters
     ----------
@@ -201,7 +201,7 @@
         Regions that may serve it; empty for all.
     priority : int or None
         Takes precedence over the priority of the route; None if it has none.
-    allotment : Allotment or None
+    quota : Quota or None
         None for no limit.
     """
 
@@ -209,7 +209,7 @@
     key_digests: frozenset[bytes] = attrs.field(default=frozenset(), repr=False)
     allowed_regions: frozenset[str] = frozenset()
     priority: int | None = None
-    allotment: Allotment | None = None
+    quota: Quota | None = None
 
     def allows(self, region: str) -> bool:
         """Return whether backend servers of a region may serve the organisation."""
@@ -468,7 +468,7 @@
     key_digest : bytes
         SHA-256 of the caller's key; empty if it sent none that is well-formed.
     n_stated_tokens : int or None
-        Prompt and answer tokens for which the request counts in an allotment; None if
+        Prompt and answer tokens for which the request counts in a quota; None if
         the caller states none.
     """
 
--- a/packages/core/bilberryridge/core/outcomes.py
+++ b/packages/core/bilberryridge/core/outcomes.py
@@ -50,7 +50,7 @@
     PROMPT_HELD_BACK = "prompt-held-back"
     REQUEST_HELD_BACK = "request-held-back"
     STREAM_ORIGIN_UNKNOWN = "stream-origin-unknown"
-    OVER_ALLOTMENT = "over-allotment"
+    OVER_QUOTA = "over-quota"
     CONFIGURATION_UNPROVEN = "configuration-unproven"
 
 
@@ -80,7 +80,7 @@
     Reason.PROMPT_HELD_BACK: 503,
     Reason.REQUEST_HELD_BACK: 503,
     Reason.STREAM_ORIGIN_UNKNOWN: 503,
-    Reason.OVER_ALLOTMENT: 429,
+    Reason.OVER_QUOTA: 429,
     Reason.CONFIGURATION_UNPROVEN: 503,
 }
 
--- a/packages/daemon/bilberryridge/daemon/registry.py
+++ b/packages/daemon/bilberryridge/daemon/registry.py
@@ -117,14 +117,14 @@
         "Age of the proof that the configuration is the newest.",
     ),
     _counter(
-        "ingress_allotment_requests",
-        "Requests counted in allotments.",
+        "ingress_quota_requests",
+        "Requests counted in quotas.",
         "organisation",
         "result",
     ),
     _counter(
-        "ingress_allotment_units",
-        "Tokens or requests counted in allotments.",
+        "ingress_quota_units",
+        "Tokens or requests counted in quotas.",
         "organisation",
         "result",
     ),
--- a/packages/decisions/bilberryridge/decisions/ingress/access.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/access.py
@@ -11,8 +11,8 @@
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
-    allotment_handlers,
     configuration_proof,
+    quota_handlers,
     state,
 )
 
@@ -39,7 +39,7 @@
 
 @attrs.frozen
 class Waiting:
-    """A request waits for tokens; `Allotments.take_settled` names it afterwards."""
+    """A request waits for tokens; `Quotas.take_settled` names it afterwards."""
 
 
 def check(
@@ -117,7 +117,7 @@
     organisation: ingress.Organisation | None,
     now_s: float,
 ) -> Denial | Waiting | None:
-    """Take what a request costs from the allotment of its organisation.
+    """Take what a request costs from the quota of its organisation.
 
     Called once for each request that is to be placed, after all else was checked.
 
@@ -136,10 +136,10 @@
     """
     if organisation is None:
         return None
-    charged = allotment_handlers.charge(st, req, route, organisation, now_s)
-    if isinstance(charged, allotment_handlers.Excess):
+    charged = quota_handlers.charge(st, req, route, organisation, now_s)
+    if isinstance(charged, quota_handlers.Excess):
         return Denial(charged.reason, charged.log_fields, charged.retry_after_s)
-    return Waiting() if charged is allotment_handlers.Charge.WAITING else None
+    return Waiting() if charged is quota_handlers.Charge.WAITING else None
 
 
 def renew(st: state.State, item: state.OpenRequest, now_s: float) -> Denial | None:
--- a/packages/decisions/bilberryridge/decisions/ingress/effects.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/effects.py
@@ -7,10 +7,10 @@
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
-    allotments,
     crash_reports,
     division_messages,
     load_messages,
+    quotas,
     stream_origins,
 )
 
@@ -218,18 +218,18 @@
 
 
 @attrs.frozen
-class CountAllotment:
+class CountQuota:
     """Count what became of an organisation's requests, in the metrics.
 
     Parameters
     ----------
     organisation : str
-        One of the largest, or `allotments.REST`.
+        One of the largest, or `quotas.REST`.
     counts : Counts
     """
 
     organisation: str
-    counts: allotments.Counts
+    counts: quotas.Counts
 
 
 Effect = (
@@ -247,5 +247,5 @@
     | CheckStore
     | LogTakeUp
     | LogStateChange
-    | CountAllotment
+    | CountQuota
 )
--- a/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/load_handlers.py
@@ -4,7 +4,6 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
-    allotment_handlers,
     crash_handlers,
     division_messages,
     effects,
@@ -14,6 +13,7 @@
     load_messages,
     path_handlers,
     prefill_load,
+    quota_handlers,
     sending,
     server_table,
     server_word_handlers,
@@ -50,7 +50,7 @@
         if event.message.offered is not None:
             st.admission.on_report(event.vm, event.message.offered, now_s)
     elif isinstance(event.message, division_messages.Message):
-        allotment_handlers.on_message(st, event.vm, event.message, now_s)
+        quota_handlers.on_message(st, event.vm, event.message, now_s)
     else:
         crash_handlers.on_report(st, event.message, now_s)
 
@@ -61,7 +61,7 @@
     name = event.entry.name
     st.emit(effects.LogStateChange("peer", f"{name} is linked"))
     holding_back.tell_all(st, name, now_s)
-    allotment_handlers.on_link_up(st, name, now_s)
+    quota_handlers.on_link_up(st, name, now_s)
     if event.entry.region == st.cfg.local_entry.region:
         shares = st.servers.all_shares(now_s)
         st.emit(effects.SendPeerMessage(name, load_messages.DaemonLoads(shares)))
@@ -75,7 +75,7 @@
     if not st.members.link_down(event.vm, event.incarnation, now_s):
         return
     st.servers.remove_peer(event.vm)
-    allotment_handlers.update_daemons(st, now_s)
+    quota_handlers.update_daemons(st, now_s)
     st.admission.remove_peer(event.vm)
     st.emit(effects.LogStateChange("peer", f"{event.vm} is not linked"))
 
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -19,7 +19,6 @@
 from bilberryridge.decisions.ingress import (
     access,
     admission_handlers,
-    allotment_handlers,
     crash_handlers,
     directory,
     effects,
@@ -27,6 +26,7 @@
     load_handlers,
     path_handlers,
     placement,
+    quota_handlers,
     request_handlers,
     server_starts,
     server_word_handlers,
@@ -46,7 +46,7 @@
         return
     before = st.table.version if st.table else None
     st.table = event.table
-    allotment_handlers.on_table(st, now_s)
+    quota_handlers.on_table(st, now_s)
     log_fields = {"before": before, "routes": len(event.table.routes)}
     st.emit(
         effects.LogStateChange("table", f"version {event.table.version}", log_fields)
@@ -126,7 +126,7 @@
 def _count_daemons(st: state.State, now_s: float) -> None:
     st.daemons_counted_s = now_s
     st.budget.update_daemons(st.members.n_daemons(now_s), now_s)
-    allotment_handlers.update_daemons(st, now_s)
+    quota_handlers.update_daemons(st, now_s)
 
 
 def _on_peer_said(st: state.State, now_s: float, event: events.PeerSaid) -> None:
@@ -138,7 +138,7 @@
     if now_s - st.daemons_counted_s >= DAEMONS_COUNTED_INTERVAL_S:
         _count_daemons(st, now_s)
     _report_proof(st)
-    allotment_handlers.on_tick(st, now_s)
+    quota_handlers.on_tick(st, now_s)
     request_handlers.on_charges_settled(st, now_s)
     request_handlers.on_tick(st, now_s)
     st.members.remove_expired(now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/allotments.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quotas.py
@@ -1,4 +1,4 @@
-"""The allotments of organisations, kept by all daemons together.
+"""The quotas of organisations, kept by all daemons together.
 
 Work and memory are those of the organisations in use: an account is made when the first
 request or question comes, with the tokens that it would have gathered by then, and is
@@ -109,12 +109,12 @@
 class _Entry:
     """An organisation in use."""
 
-    allotment: ingress.Allotment
+    quota: ingress.Quota
     exchange: token_exchange.TokenExchange
     membership: int = -1
 
 
-class Allotments:
+class Quotas:
     """This daemon's accounts of all organisations.
 
     Parameters
@@ -150,7 +150,7 @@
         self._random_state = random_state
         self._numbers: Iterator[int] | None = None
         self._shares: daemon_shares.DaemonShares | None = None
-        self._allotments: Mapping[str, ingress.Allotment] = {}
+        self._quotas: Mapping[str, ingress.Quota] = {}
         self._linked_by_region: dict[str, tuple[str, ...]] = {}
         self._membership = 0
         self._entries: dict[str, _Entry] = {}
@@ -168,7 +168,7 @@
     @property
     def is_in_use(self) -> bool:
         """Whether any organisation has a limit."""
-        return bool(self._allotments)
+        return bool(self._quotas)
 
     @property
     def n_in_use(self) -> int:
@@ -179,22 +179,20 @@
         self, organisations: Iterable[ingress.Organisation], now_s: float
     ) -> None:
         """Apply the limits of another routing table."""
-        self._allotments = {
-            organisation.name: organisation.allotment
+        self._quotas = {
+            organisation.name: organisation.quota
             for organisation in organisations
-            if organisation.allotment and organisation.allotment.rate_per_s > 0
+            if organisation.quota and organisation.quota.rate_per_s > 0
         }
         for name, entry in list(self._entries.items()):
-            allotment = self._allotments.get(name)
-            if allotment is None:
+            quota = self._quotas.get(name)
+            if quota is None:
                 self._remove(name)
-            elif allotment != entry.allotment:
-                entry.allotment = allotment
-                entry.exchange.account.set_limit(self._limit(allotment), now_s)
+            elif quota != entry.quota:
+                entry.quota = quota
+                entry.exchange.account.set_limit(self._limit(quota), now_s)
         # The largest by rate, so that they seldom change.
-        by_rate = sorted(
-            self._allotments, key=lambda n: (-self._allotments[n].rate_per_s, n)
-        )
+        by_rate = sorted(self._quotas, key=lambda n: (-self._quotas[n].rate_per_s, n))
         self._named = frozenset(by_rate[:N_NAMED])
 
     def update_daemons(
@@ -288,7 +286,7 @@
             "organisation": organisation,
             "part": round(account.share, 4),
             "left": round(account.n_spendable(now_s)),
-            "rate_per_s": entry.allotment.rate_per_s,
+            "rate_per_s": entry.quota.rate_per_s,
             "demand_per_s": round(demand_per_s),
             "demand_age_s": round(age_s, 3),
         }
@@ -356,37 +354,33 @@
         counts, self._counts = self._counts, {}
         return counts
 
-    def _limit(self, allotment: ingress.Allotment) -> rate_division.Limit:
-        return rate_division.limit_within(
-            allotment.rate_per_s, allotment.burst, self._bound
-        )
+    def _limit(self, quota: ingress.Quota) -> rate_division.Limit:
+        return rate_division.limit_within(quota.rate_per_s, quota.burst, self._bound)
 
     def _entry(self, name: str, now_s: float) -> _Entry | None:
         """Return the entry of an organisation; None if it has no limit."""
         entry = self._entries.get(name)
         if entry is None:
-            allotment = self._allotments.get(name)
-            if allotment is None:
+            quota = self._quotas.get(name)
+            if quota is None:
                 return None
-            entry = self._entries[name] = self._make_entry(name, allotment, now_s)
+            entry = self._entries[name] = self._make_entry(name, quota, now_s)
         if entry.membership != self._membership:
             self._update_neighbours(name, entry)
         return entry
 
-    def _make_entry(
-        self, name: str, allotment: ingress.Allotment, now_s: float
-    ) -> _Entry:
+    def _make_entry(self, name: str, quota: ingress.Quota, now_s: float) -> _Entry:
         if self._numbers is None:
             first = self._random_state.randrange(MAX_FIRST_NUMBER)
             self._numbers = iter(range(first, 1 << 62))
-        limit = self._limit(allotment)
+        limit = self._limit(quota)
         since_s = self._shares.since_s if self._shares else now_s
         share = self.own_share
         n_tokens = share * limit.rate_per_s * max(0.0, now_s - since_s) if share else 0
         n_tokens = min(share * limit.burst, n_tokens)
         account = rate_division.Account(limit, share, n_tokens, now_s)
         exchange = token_exchange.TokenExchange(name, account, self._numbers, now_s)
-        return _Entry(allotment, exchange)
+        return _Entry(quota, exchange)
 
     def _update_neighbours(self, name: str, entry: _Entry) -> None:
         if entry.membership == self._membership:
--- a/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/request_handlers.py
@@ -9,13 +9,13 @@
 from bilberryridge.decisions.ingress import (
     access,
     admission_handlers,
-    allotment_handlers,
     crash_handlers,
     effects,
     events,
     holding_back,
     path_handlers,
     placement,
+    quota_handlers,
     retrying,
     sending,
     server_starts,
@@ -226,29 +226,29 @@
 
 def on_charges_settled(st: state.State, now_s: float) -> None:
     """Go on with the requests for which tokens were taken; refuse the others."""
-    for request_id, is_taken in st.allotments.take_settled():
+    for request_id, is_taken in st.quotas.take_settled():
         waiting = st.waiting_charges.pop(request_id, None)
         if waiting is None:
             continue
         req = waiting.req
         if not is_taken:
-            _refuse_over_allotment(st, req, now_s)
+            _refuse_over_quota(st, req, now_s)
             continue
         left_s = max(0.0, req.caller_timeout_s - (now_s - waiting.arrived_s))
         req = attrs.evolve(req, caller_timeout_s=left_s)
         _on_arrived(st, now_s, req, waiting.is_store_confirmed)
         if req.id not in st.open_requests and req.id not in st.waiting_take_ups:
-            st.allotments.end(req.id, is_run=False, now_s=now_s)
+            st.quotas.end(req.id, is_run=False, now_s=now_s)
 
 
-def _refuse_over_allotment(st: state.State, req: ingress.Request, now_s: float) -> None:
+def _refuse_over_quota(st: state.State, req: ingress.Request, now_s: float) -> None:
     organisation = st.table and st.table.organisation_of_key(req.key_digest)
-    if not organisation or organisation.allotment is None:
+    if not organisation or organisation.quota is None:
         # Of a newer table, which says whether the request may be sent.
         _on_arrived(st, now_s, req, is_store_confirmed=False)
         return
-    n_tokens = organisation.allotment.cost(req.n_stated_tokens)
-    excess = allotment_handlers.excess(st, organisation, n_tokens, now_s)
+    n_tokens = organisation.quota.cost(req.n_stated_tokens)
+    excess = quota_handlers.excess(st, organisation, n_tokens, now_s)
     log_fields = {"path": req.path, **excess.log_fields}
     _refuse_on_arrival(st, req, excess.reason, log_fields, excess.retry_after_s)
 
@@ -258,7 +258,7 @@
     st.waiting_take_ups.pop(event.request_id, None)
     st.waiting_starts.pop(event.request_id, None)
     if st.waiting_charges.pop(event.request_id, None) is not None:
-        st.allotments.withdraw(event.request_id)
+        st.quotas.withdraw(event.request_id)
         return
     item = st.open_requests.get(event.request_id)
     if item is None:
@@ -713,7 +713,7 @@
 
 def _close_request(st: state.State, item: state.OpenRequest) -> None:
     st.open_requests.pop(item.req.id, None)
-    st.allotments.end(item.req.id, item.is_counted, st.now_s)
+    st.quotas.end(item.req.id, item.is_counted, st.now_s)
 
 
 def _find_by_attempt(
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -11,7 +11,6 @@
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
     admission,
-    allotments,
     configuration_proof,
     crash_reports,
     crashing_requests,
@@ -19,6 +18,7 @@
     long_prompts,
     members,
     quarantine,
+    quotas,
     rate_division,
     regions,
     retry_budget,
@@ -48,9 +48,9 @@
     revocation_bound_s : float or None
         Time after which no request with a revoked key may be accepted any more; None
         if the deployment sets no such bound.
-    allotment_window_s, allotment_overshoot, allotment_slack : float
-        In any window, an organisation's requests may exceed its allotment by the
-        fraction `allotment_overshoot` and by `allotment_slack` units.
+    quota_window_s, quota_overshoot, quota_slack : float
+        In any window, an organisation's requests may exceed its quota by the
+        fraction `quota_overshoot` and by `quota_slack` units.
     is_slow_start_forced : bool
         Whether servers that return get a window of requests in flight also where they
         state no pace; see `slow_start_handlers`.
@@ -65,9 +65,9 @@
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
     revocation_bound_s: float | None = None
-    allotment_window_s: float = 8.0
-    allotment_overshoot: float = 0.1
-    allotment_slack: float = 0.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 0.0
     is_slow_start_forced: bool = False
     has_admission: bool = False
 
@@ -163,7 +163,7 @@
     is_trial : bool
         Whether it is sent though it is held back.
     is_counted : bool
-        Whether a server may have run it, so that its allotment is used.
+        Whether a server may have run it, so that its quota is used.
     n_lost_beginnings : int
         Attempts whose server was lost as it began to answer.
     n_counted : int
@@ -280,7 +280,7 @@
 
 @attrs.frozen
 class WaitingCharge:
-    """A request that waits for tokens of its organisation's allotment.
+    """A request that waits for tokens of its organisation's quota.
 
     Parameters
     ----------
@@ -362,16 +362,16 @@
         self.budget = retry_budget.RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
-        self.allotments = allotments.Allotments(
+        self.quotas = quotas.Quotas(
             cfg.local_entry.name,
             cfg.local_entry.region,
             rate_division.Bound(
-                cfg.allotment_window_s, cfg.allotment_overshoot, cfg.allotment_slack
+                cfg.quota_window_s, cfg.quota_overshoot, cfg.quota_slack
             ),
-            allotments.hold_s(cfg.revocation_bound_s),
+            quotas.hold_s(cfg.revocation_bound_s),
             random_state,
         )
-        self.allotments_counted_s = float("-inf")
+        self.quotas_counted_s = float("-inf")
         self.waiting_charges: dict[str, WaitingCharge] = {}
         self.admission = admission.Admission()
         self.daemons_counted_s = float("-inf")
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/allotment_fleet.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/quota_fleet.py
@@ -1,4 +1,4 @@
-"""Daemons that divide allotments, with a simulated network and clocks."""
+"""Daemons that divide quotas, with a simulated network and clocks."""
 
 import collections
 import heapq
@@ -9,8 +9,8 @@
 
 from bilberryridge.core import ingress
 from bilberryridge.decisions.ingress import (
-    allotments,
     division_messages,
+    quotas,
     rate_division,
     token_exchange,
 )
@@ -21,9 +21,9 @@
 
 
 def organisation(name, rate_per_s, burst):
-    unit = ingress.AllotmentUnit.TOKENS
-    allotment = ingress.Allotment(rate_per_s, burst, unit, 200)
-    return ingress.Organisation(name, allotment=allotment)
+    unit = ingress.QuotaUnit.TOKENS
+    quota = ingress.Quota(rate_per_s, burst, unit, 200)
+    return ingress.Organisation(name, quota=quota)
 
 
 @attrs.define
@@ -35,7 +35,7 @@
     clock_rate: float = 1.0
     clock_offset_s: float = 0.0
     run: int = 0
-    node: allotments.Allotments | None = None
+    node: quotas.Quotas | None = None
     linked_runs: set = attrs.field(factory=set)
 
     def now_s(self, at_s):
@@ -109,9 +109,7 @@
         vm = self.vms[name]
         vm.run += 1
         random_state = random.Random(self.random_state.random())
-        vm.node = allotments.Allotments(
-            name, vm.region, self.bound, self.hold_s, random_state
-        )
+        vm.node = quotas.Quotas(name, vm.region, self.bound, self.hold_s, random_state)
         vm.linked_runs = set()
         vm.node.set_organisations(self.organisations, vm.now_s(self.now_s))
         self._count(vm)
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_allotment_bound.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quota_bound.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from bilberryridge.decisions.ingress import rate_division
-from bilberryridge.decisions.ingress.tests import allotment_fleet
+from bilberryridge.decisions.ingress.tests import quota_fleet
 
 BOUND = rate_division.Bound(3.0, 0.1, 12_000)
 RATE, BURST = 20_000, 10_000
@@ -52,7 +52,7 @@
 
 
 def organisations(limit):
-    return (allotment_fleet.organisation("o", *limit),)
+    return (quota_fleet.organisation("o", *limit),)
 
 
 def ask(fleet, random_state, for_s):
@@ -111,14 +111,14 @@
 
 def test_exact_bound_is_within_what_is_allowed():
     for limit in (HIGHEST, LOWERED):
-        assert exact_bound(*limit) < allotment_fleet.allowed(*limit, BOUND)
+        assert exact_bound(*limit) < quota_fleet.allowed(*limit, BOUND)
 
 
 @hypothesis.given(strategies.integers(0, 2**32), NETWORKS, STEPS)
 @hypothesis.settings(max_examples=100)
 def test_no_window_exceeds_the_bound(seed, network, steps):
     loss, repeat, longest_delay_s, is_store_up = network
-    fleet = allotment_fleet.Fleet(
+    fleet = quota_fleet.Fleet(
         N_BY_REGION, random.Random(seed), organisations(HIGHEST), bound=BOUND
     )
     fleet.run_for(3.0)
@@ -126,18 +126,18 @@
     fleet.loss, fleet.repeat = loss, repeat
     fleet.longest_delay_s = longest_delay_s
     taken, lowered_s = play(fleet, steps, is_store_up)
-    worst, worst_s = allotment_fleet.worst_window(taken, BOUND.window_s)
+    worst, worst_s = quota_fleet.worst_window(taken, BOUND.window_s)
     assert worst <= exact_bound(*HIGHEST), worst_s
     if lowered_s is not None:
         late = [each for each in taken if each[0] >= lowered_s + BOUND.window_s]
-        worst, worst_s = allotment_fleet.worst_window(late, BOUND.window_s)
+        worst, worst_s = quota_fleet.worst_window(late, BOUND.window_s)
         assert worst <= exact_bound(*LOWERED), worst_s
 
 
 @hypothesis.given(strategies.integers(0, 2**32), strategies.integers(1, 2))
 @hypothesis.settings(max_examples=10)
 def test_daemons_that_join_do_not_exceed_the_bound(seed, n_joining):
-    fleet = allotment_fleet.Fleet(
+    fleet = quota_fleet.Fleet(
         {"east": 8, "west": 4}, random.Random(seed), organisations(HIGHEST), bound=BOUND
     )
     random_state = random.Random(seed)
@@ -149,8 +149,8 @@
             for n_tokens in (200, 1_000, 4_000):
                 fleet.request(name, "o", n_tokens)
         fleet.run_for(0.1)
-    worst, worst_s = allotment_fleet.worst_window(fleet.taken("o"), BOUND.window_s)
-    assert worst <= allotment_fleet.allowed(*HIGHEST, BOUND), worst_s
+    worst, worst_s = quota_fleet.worst_window(fleet.taken("o"), BOUND.window_s)
+    assert worst <= quota_fleet.allowed(*HIGHEST, BOUND), worst_s
 
 
 def saturate(fleet, for_s, n_tokens):
@@ -165,7 +165,7 @@
 @pytest.mark.parametrize("interval_s", [1.0, 3.5])
 def test_lenders_that_start_again_do_not_hold_what_they_lent(interval_s):
     # Requests are large against a part, so that all shares are lent to one daemon.
-    fleet = allotment_fleet.Fleet(
+    fleet = quota_fleet.Fleet(
         {"east": 8}, random.Random(1), organisations(HIGHEST), bound=BOUND
     )
     fleet.run_for(3.0)
@@ -177,5 +177,5 @@
         for name in by_share[:-1]:
             fleet.start(name)
         saturate(fleet, interval_s, 4_000)
-    worst, worst_s = allotment_fleet.worst_window(fleet.taken("o"), BOUND.window_s)
+    worst, worst_s = quota_fleet.worst_window(fleet.taken("o"), BOUND.window_s)
     assert worst <= exact_bound(*HIGHEST), worst_s
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_allotment_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quota_handlers.py
@@ -14,12 +14,12 @@
 from bilberryridge.decisions.ingress.tests import deployment
 
 KEY = hashlib.sha256(b"key").digest()
-ALLOTMENT = ingress.Allotment(1_000.0, 1_000.0, ingress.AllotmentUnit.TOKENS, 100)
+QUOTA = ingress.Quota(1_000.0, 1_000.0, ingress.QuotaUnit.TOKENS, 100)
 JOINED_S = 20.0
 
 
-def table(version=2, allotment=ALLOTMENT):
-    organisation = ingress.Organisation("acme", frozenset([KEY]), allotment=allotment)
+def table(version=2, quota=QUOTA):
+    organisation = ingress.Organisation("acme", frozenset([KEY]), quota=quota)
     return attrs.evolve(deployment.table(version), organisations=(organisation,))
 
 
@@ -39,7 +39,7 @@
 
 def n_left(daemon):
     """Return the tokens that the daemon has."""
-    return daemon.node.state.allotments.log_fields("acme", daemon.now_s)["left"]
+    return daemon.node.state.quotas.log_fields("acme", daemon.now_s)["left"]
 
 
 def refusal_of(effect):
@@ -47,7 +47,7 @@
     return effect.refusal
 
 
-def test_requests_within_the_allotment_are_sent_and_counted():
+def test_requests_within_the_quota_are_sent_and_counted():
     daemon = make_daemon()
     before = n_left(daemon)
     assert isinstance(arrive(daemon, "1", 300), effects.SendToServer)
@@ -55,12 +55,12 @@
     assert n_left(daemon) == before - 400
 
 
-def test_a_request_over_the_allotment_is_refused_at_once():
+def test_a_request_over_the_quota_is_refused_at_once():
     daemon = make_daemon()
     effect = arrive(daemon, "1", 50_000)
     refusal = refusal_of(effect)
     assert refusal.status == 429
-    assert refusal.reason is outcomes.Reason.OVER_ALLOTMENT
+    assert refusal.reason is outcomes.Reason.OVER_QUOTA
     assert refusal.outcome is outcomes.Outcome.NOT_RUN
     assert effect.log_fields["organisation"] == "acme"
     assert {"part", "demand_per_s", "demand_age_s"} <= effect.log_fields.keys()
@@ -126,7 +126,7 @@
 
 def test_a_new_table_brings_new_limits():
     daemon = make_daemon()
-    lower = attrs.evolve(ALLOTMENT, rate_per_s=10.0, burst=10.0)
+    lower = attrs.evolve(QUOTA, rate_per_s=10.0, burst=10.0)
     daemon.handle(events.TableRead(table(3, lower)))
     assert refusal_of(arrive(daemon, "1", 500)).status == 429
 
@@ -134,8 +134,8 @@
 def test_without_organisations_nothing_is_counted_or_said():
     daemon = deployment.Daemon([deployment.server("s1")], [deployment.entry("vm-2")])
     arrive(daemon, "1", 50_000)
-    assert not daemon.node.state.allotments.charges
-    assert not daemon.node.state.allotments.n_in_use
+    assert not daemon.node.state.quotas.charges
+    assert not daemon.node.state.quotas.n_in_use
 
 
 @pytest.fixture
@@ -193,7 +193,7 @@
     daemon.handle(events.CallerGone("1"))
     assert answer(daemon, asked, asked.message.n_needed) == []
     assert not daemon.node.state.waiting_charges
-    assert not daemon.node.state.allotments.charges
+    assert not daemon.node.state.quotas.charges
 
 
 def test_a_stopping_daemon_sends_callers_to_others():
@@ -207,4 +207,4 @@
     daemon, asked = asking
     daemon.handle(events.TableRead(deployment.table(3)))
     answer(daemon, asked, asked.message.n_needed)
-    assert not daemon.node.state.allotments.charges
+    assert not daemon.node.state.quotas.charges
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_allotment_tightness.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quota_tightness.py
@@ -1,6 +1,6 @@
-"""What an organisation asks within its allotment passes, wherever its demand is.
+"""What an organisation asks within its quota passes, wherever its demand is.
 
-Guards against parts of the allotment that lie where nobody asks for them: 82 daemons in
+Guards against parts of the quota that lie where nobody asks for them: 82 daemons in
 three regions, 55 ms apart, and requests that are large against a daemon's own part.
 """
 
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bilberryridge.decisions.ingress.tests import allotment_fleet
+from bilberryridge.decisions.ingress.tests import quota_fleet
 
 N_BY_REGION = {"a": 41, "b": 25, "c": 16}
 COSTS = (2_000,) * 8 + (4_000,) * 4 + (8_000,) * 4 + (12_000,) * 2
@@ -24,7 +24,7 @@
 
 
 class TokenBucket:
-    """The allotment as one bucket, to ask only for what is within it."""
+    """The quota as one bucket, to ask only for what is within it."""
 
     def __init__(self, rate_per_s, burst):
         self.rate_per_s, self.burst = rate_per_s, burst
@@ -58,9 +58,9 @@
 
 def make_fleet(seed, **limits):
     organisations = tuple(
-        allotment_fleet.organisation(name, *limit) for name, limit in limits.items()
+        quota_fleet.organisation(name, *limit) for name, limit in limits.items()
     )
-    fleet = allotment_fleet.Fleet(N_BY_REGION, random.Random(seed), organisations)
+    fleet = quota_fleet.Fleet(N_BY_REGION, random.Random(seed), organisations)
     fleet.run_for(8.0)
     return fleet
 
@@ -106,7 +106,7 @@
 @pytest.mark.parametrize(
     "where", ["one daemon", "one of the smallest region", "spread", "moving"]
 )
-def test_demand_within_the_allotment_passes(size, where):
+def test_demand_within_the_quota_passes(size, where):
     assert passed_part(size, where) >= PASSED
 
 
@@ -118,7 +118,7 @@
     assert passed_part(size, "spread", load) >= PASSED
 
 
-def test_an_organisation_over_its_allotment_does_not_affect_others():
+def test_an_organisation_over_its_quota_does_not_affect_others():
     random_state = random.Random(1)
     limit = LIMITS["large"]
     fleet = make_fleet(1, o=limit, p=limit)
@@ -129,8 +129,8 @@
     assert fleet.taken_part("o") >= PASSED
     n_taken = sum(n_tokens for _, n_tokens in fleet.taken("p"))
     assert n_taken >= 0.98 * (limit[0] * PLAYED_S + limit[1])
-    worst, _ = allotment_fleet.worst_window(fleet.taken("p"), 8.0)
-    assert worst <= allotment_fleet.allowed(*limit)
+    worst, _ = quota_fleet.worst_window(fleet.taken("p"), 8.0)
+    assert worst <= quota_fleet.allowed(*limit)
 
 
 def test_no_messages_are_sent_while_own_parts_suffice():
--- a/packages/standins/bilberryridge/standins/ingress_play/daemons.py
+++ b/packages/standins/bilberryridge/standins/ingress_play/daemons.py
@@ -118,7 +118,7 @@
             effects.SendPeerMessage: self._send_peer_message,
             effects.StoreReport: lambda effect: None,
             effects.LogStateChange: lambda effect: None,
-            effects.CountAllotment: lambda effect: None,
+            effects.CountQuota: lambda effect: None,
             effects.LogTakeUp: lambda effect: None,
         }
 
--- a/packages/standins/bilberryridge/standins/allotment_cost.py
+++ b/packages/standins/bilberryridge/standins/quota_cost.py
@@ -1,6 +1,6 @@
-"""Time that one request spends on its organisation's allotment.
+"""Time that one request spends on its organisation's quota.
 
-Run ``python -m bilberryridge.standins.allotment_cost``.
+Run ``python -m bilberryridge.standins.quota_cost``.
 """
 
 import random
@@ -8,7 +8,7 @@
 import time
 
 from bilberryridge.core import ingress
-from bilberryridge.decisions.ingress import allotments, rate_division
+from bilberryridge.decisions.ingress import quotas, rate_division
 
 N_REQUESTS, N_ROUNDS, N_TICKS = 20_000, 5, 2_000
 N_IN_USE = 16
@@ -16,13 +16,13 @@
 JOINED_S = 20.0
 
 
-def _make(n_organisations: int) -> allotments.Allotments:
+def _make(n_organisations: int) -> quotas.Quotas:
     bound = rate_division.Bound(8.0, 0.1, 140_000)
-    made = allotments.Allotments("vm-1", "r", bound, 600.0, random.Random(1))
-    unit = ingress.AllotmentUnit.TOKENS
-    allotment = ingress.Allotment(1e9, 1e9, unit, 200)
+    made = quotas.Quotas("vm-1", "r", bound, 600.0, random.Random(1))
+    unit = ingress.QuotaUnit.TOKENS
+    quota = ingress.Quota(1e9, 1e9, unit, 200)
     names = [f"o{index}" for index in range(n_organisations)]
-    organisations = [ingress.Organisation(n, allotment=allotment) for n in names]
+    organisations = [ingress.Organisation(n, quota=quota) for n in names]
     made.set_organisations(organisations, 0.0)
     linked = {f"vm-{index}": "r" for index in range(2, N_DAEMONS + 1)}
     for now_s in (0.0, JOINED_S):
--- a/packages/standins/bilberryridge/standins/simulation/daemons.py
+++ b/packages/standins/bilberryridge/standins/simulation/daemons.py
@@ -128,7 +128,7 @@
             effects.SendPeerMessage: self._send_message,
             effects.StoreReport: lambda e: network.store_report(e.report),
             effects.LogStateChange: lambda e: None,
-            effects.CountAllotment: lambda e: None,
+            effects.CountQuota: lambda e: None,
         }
 
     # What happens to the daemon.
--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -107,7 +107,7 @@
             effects.CheckStore: lambda effect: check_store(),
             effects.LogTakeUp: self._log_take_up,
             effects.LogStateChange: self._log_state_change,
-            effects.CountAllotment: self._count_allotment,
+            effects.CountQuota: self._count_quota,
         }
 
     @property
@@ -324,17 +324,17 @@
         self._counters.count("ingress_take_ups", (log_fields["origin_from"],))
         self._log("take up stream", effect.request_id, log_fields)
 
-    def _count_allotment(self, effect: effects.CountAllotment) -> None:
+    def _count_quota(self, effect: effects.CountQuota) -> None:
         name, counts = effect.organisation, effect.counts
         for result, n_requests, n_tokens in (
             ("taken", counts.n_taken, counts.n_tokens_taken),
             ("refused", counts.n_refused, counts.n_tokens_refused),
         ):
             labels = (name, result)
-            self._counters.count("ingress_allotment_requests", labels, n_requests)
-            self._counters.count("ingress_allotment_units", labels, round(n_tokens))
+            self._counters.count("ingress_quota_requests", labels, n_requests)
+            self._counters.count("ingress_quota_units", labels, round(n_tokens))
         self._counters.count(
-            "ingress_allotment_requests", (name, "given back"), counts.n_given_back
+            "ingress_quota_requests", (name, "given back"), counts.n_given_back
         )
 
     def _log_state_change(self, effect: effects.LogStateChange) -> None:
