Quotas: a restarted daemon takes its share although another one stays away

Cause: after all VMs lost power, a daemon waited up to 10 s for links to all registered daemons, as these may not count it.

Daemons of new VMs wait as before.

--- a/packages/decisions/bilberryridge/decisions/ingress/daemon_shares.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/daemon_shares.py
@@ -11,8 +11,8 @@
 import attrs
 
 MAX_JOIN_S = 10.0
-"""Time after which a new daemon takes its share though some registered daemons are not
-linked: in a cut, the others still count the daemon of a VM that starts again."""
+"""Time after which the daemon of a new VM takes its share though some registered
+daemons are not linked and may not count it."""
 
 
 @attrs.define
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    has_predecessor : bool
+        Whether this VM had a daemon before, so that the others count it already.
     share : float
         This daemon's own share, 0 to 1.
     since_s : float
@@ -46,6 +48,7 @@
     min_join_s: float
     started_s: float
     since_s: float = float("inf")
+    has_predecessor: bool = False
     share: float = 0.0
     _seen_s: dict[str, float] = attrs.field(factory=dict)
     _updated_s: float = float("-inf")
@@ -94,8 +97,9 @@
         for name in [n for n, at_s in self._seen_s.items() if at_s <= oldest_s]:
             del self._seen_s[name]
         joining_s = now_s - self.started_s
+        is_counted = self.has_predecessor or not unlinked
         is_joined = joining_s >= MAX_JOIN_S or (
-            not unlinked and joining_s >= self.min_join_s
+            is_counted and joining_s >= self.min_join_s
         )
         if is_joined and self.since_s > now_s:
             self.since_s = now_s
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -91,6 +91,7 @@
         for entry in event.entries
     ):
         st.budget.record_restart()
+        st.quotas.record_predecessor()
     before = {entry.name for entry in st.members.alive(now_s)}
     st.members.update(event.entries, event.is_settled, now_s)
     after = {entry.name for entry in st.members.alive(now_s)}
--- a/packages/decisions/bilberryridge/decisions/ingress/quotas.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quotas.py
@@ -150,6 +150,7 @@
         self._random_state = random_state
         self._numbers: Iterator[int] | None = None
         self._shares: daemon_shares.DaemonShares | None = None
+        self._has_predecessor = False
         self._quotas: Mapping[str, ingress.Quota] = {}
         self._linked_by_region: dict[str, tuple[str, ...]] = {}
         self._membership = 0
@@ -160,6 +161,12 @@
         self._swept_s = float("-inf")
         self._to_sweep: list[str] = []
 
+    def record_predecessor(self) -> None:
+        """Record that this VM had a daemon before, which the others count."""
+        self._has_predecessor = True
+        if self._shares is not None:
+            self._shares.has_predecessor = True
+
     @property
     def own_share(self) -> float:
         """This daemon's own share, 0 to 1."""
@@ -212,7 +219,12 @@
             min_join_s = (
                 token_exchange.SHARE_S + rate_division.MAX_LOAN_S + JOIN_MARGIN_S
             )
-            shares = daemon_shares.DaemonShares(self._hold_s, min_join_s, now_s)
+            shares = daemon_shares.DaemonShares(
+                self._hold_s,
+                min_join_s,
+                now_s,
+                has_predecessor=self._has_predecessor,
+            )
             self._shares = shares
         before = shares.share
         share = shares.update(seen, region_by_linked, now_s)
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_quota_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quota_handlers.py
@@ -10,7 +10,12 @@
 import pytest
 
 from bilberryridge.core import ingress, outcomes
-from bilberryridge.decisions.ingress import division_messages, effects, events
+from bilberryridge.decisions.ingress import (
+    daemon_shares,
+    division_messages,
+    effects,
+    events,
+)
 from bilberryridge.decisions.ingress.tests import deployment
 
 KEY = hashlib.sha256(b"key").digest()
@@ -208,3 +213,14 @@
     daemon.handle(events.TableRead(deployment.table(3)))
     answer(daemon, asked, asked.message.n_needed)
     assert not daemon.node.state.quotas.charges
+
+
+def test_restarted_daemon_gets_its_share_while_another_one_stays_away():
+    """After all VMs lost power, callers got 429 for 10 s as one did not return."""
+    shares = daemon_shares.DaemonShares(
+        hold_s=15, min_join_s=2, started_s=0, has_predecessor=True
+    )
+    assert shares.update(["b", "c"], ["b"], now_s=1) == 0
+    assert shares.update(["b", "c"], ["b"], now_s=2) == pytest.approx(1 / 3)
+    of_new_vm = daemon_shares.DaemonShares(hold_s=15, min_join_s=2, started_s=0)
+    assert of_new_vm.update(["b", "c"], ["b"], now_s=2) == 0
