--- a/packages/decisions/bilberryridge/decisions/ingress/placement.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/placement.py
@@ -292,7 +292,7 @@
     if prompt is not None and prompt.shared_parts:
         candidates = _by_affinity(st, item, prompt, candidates)
         gap_s = st.table.event_gap_s(item.service.name) if st.table else None
-        unprotected: list[server_table.ServerState] = []
+        unprotected: frozenset[str] = frozenset()
         if gap_s is not None:
             candidates, unprotected = _long_prompts_apart(
                 st, item, candidates, gap_s, now_s
@@ -300,7 +300,7 @@
         candidates = candidates[:MAX_CANDIDATES]
         cached_prefix = _longest_cached_prefix(candidates, prompt, now_s)
         event_gaps_s = {
-            server.record.id: None if server in unprotected else gap_s
+            server.record.id: None if server.record.id in unprotected else gap_s
             for server in candidates
         }
         return _first_fast_enough(candidates, item, cached_prefix, event_gaps_s, now_s)
@@ -316,30 +316,32 @@
     candidates: list[server_table.ServerState],
     event_gap_s: float,
     now_s: float,
-) -> tuple[list[server_table.ServerState], list[server_table.ServerState]]:
+) -> tuple[list[server_table.ServerState], frozenset[str]]:
     """Order servers so that those for long prompts come first for these, else last.
 
     Returns
     -------
     candidates : list of ServerState
-    unprotected : list of ServerState
-        Those of them whose streams this request may delay.
+    unprotected : frozenset of str
+        Ids of those whose streams this request may delay.
     """
     engine, prompt = item.service.engine, item.remaining_prompt
     if engine is None or prompt is None:
-        return candidates, []
+        return candidates, frozenset()
     is_long = is_long_prompt(
         candidates[0], engine, prompt.n_unshared_tokens, event_gap_s, now_s
     )
     if is_long is None:
-        return candidates, []
+        return candidates, frozenset()
     n_servers = st.long_prompts[item.service.name].n_servers(len(candidates), now_s)
     ranks = st.servers.ranks(item.service.name, LONG_PROMPTS_KEY)
     by_rank = sorted(ranks[server.record.id] for server in candidates)
     n_first = by_rank[n_servers] if n_servers < len(by_rank) else len(ranks)
     apart = [server for server in candidates if ranks[server.record.id] < n_first]
     others = [server for server in candidates if ranks[server.record.id] >= n_first]
-    return (apart + others, apart) if is_long else (others + apart, [])
+    if not is_long:
+        return others + apart, frozenset()
+    return apart + others, frozenset(server.record.id for server in apart)
 
 
 def is_long_prompt(
