Crashing prompts: log what clears a part, and why a lost answer isn't counted

Change: these three are logged, with the request, what it showed and since when its answer had begun. No decision is changed.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -3,6 +3,7 @@
 import collections
 import functools
 from collections.abc import Callable
+from typing import Any
 
 from bilberryridge.decisions.ingress import (
     crash_reports,
@@ -47,22 +48,29 @@
     """Learn from the end of an attempt at a server."""
     server = st.servers.by_id.get(attempt.server_id)
     if server is None:
+        if attempt.server_id and event.result is events.AttemptResult.LOST:
+            _log_lost_answer(st, item, attempt, "no longer listed", now_s)
         return
     parts, content_id = holding_back.shared_ids(item.req), item.req.content_id
     is_success = 0 < event.status < FIRST_ERROR_STATUS
     is_answered = event.result is events.AttemptResult.ANSWERED
     is_past_beginning = _is_past_beginning(attempt, now_s)
     if (is_answered and is_success) or is_past_beginning:
-        _record_sound(st, parts, now_s)
+        shown_by = "answered" if is_answered else "went on"
+        _record_sound(st, parts, _answer_fields(item, attempt, shown_by, now_s), now_s)
     is_sound = is_answered or is_past_beginning
     if is_sound:
         _record_sound_request(st, content_id, now_s)
     if event.is_disconnected:
         # A server that crashes on a request may crash before it answers.
         is_beginning = is_success and bool(parts) and not is_past_beginning
+        if is_success and parts and not is_beginning:
+            _log_lost_answer(st, item, attempt, "past its beginning", now_s)
         item.n_lost_beginnings += is_beginning
         suspects = parts if is_beginning else []
         _record_lost(st, server, suspects, "" if is_sound else content_id, now_s)
+    elif event.result is events.AttemptResult.LOST:
+        _log_lost_answer(st, item, attempt, "not ended by the server", now_s)
 
 
 def on_tick(st: state.State, now_s: float) -> None:
@@ -73,7 +81,8 @@
             continue
         if _is_past_beginning(attempt, now_s):
             attempt.is_sound = True
-            _record_sound(st, holding_back.shared_ids(item.req), now_s)
+            log_fields = _answer_fields(item, attempt, "went on", now_s)
+            _record_sound(st, holding_back.shared_ids(item.req), log_fields, now_s)
             _record_sound_request(st, item.req.content_id, now_s)
     if st.lost_servers and now_s - st.lost_servers[0].at_s >= AT_ONCE_S:
         _report_lost(st, now_s)
@@ -95,6 +104,10 @@
 ) -> None:
     """Take a report of another daemon."""
     if isinstance(report, crash_reports.SoundPart):
+        if report.part in st.quarantine.signatures:
+            change = f"part {report.part} is sound"
+            log_fields = {"shown_by": "another daemon"}
+            st.emit(effects.LogStateChange("crash", change, log_fields))
         _change(st, lambda: st.quarantine.record_sound([report.part], now_s))
         st.crashing_requests.record_sound(report.part, now_s)
     elif isinstance(report, crash_reports.CrashedRequests):
@@ -107,9 +120,17 @@
     st: state.State, now_s: float, event: events.CrashReportsRead
 ) -> None:
     """Apply the reports that the store holds."""
-    _change(
-        st, lambda: st.quarantine.apply_stored(event.stored, event.is_settled, now_s)
-    )
+    dropped: list[str] = []
+
+    def apply() -> None:
+        stored, is_settled = event.stored, event.is_settled
+        dropped.extend(st.quarantine.apply_stored(stored, is_settled, now_s))
+
+    _change(st, apply)
+    if dropped:
+        log_fields = {"servers": sorted(dropped)[:MAX_LOGGED]}
+        change = f"{len(dropped)} reports are dropped, as the store has none of them"
+        st.emit(effects.LogStateChange("crash", change, log_fields))
     st.crashing_requests.apply_stored(event.stored, now_s)
 
 
@@ -117,11 +138,43 @@
     return attempt.begun_s is not None and now_s - attempt.begun_s >= BEGINNING_S
 
 
-def _record_sound(st: state.State, parts: list[str], now_s: float) -> None:
+def _answer_fields(
+    item: state.OpenRequest, attempt: state.Attempt, shown_by: str, now_s: float
+) -> dict[str, Any]:
+    """Return what an answer has shown, and since when it has been received."""
+    begun_s = attempt.begun_s
+    return {
+        "request": item.req.caller_request_id,
+        "shown_by": shown_by,
+        "server": attempt.server_id,
+        "begun_ago_s": None if begun_s is None else round(now_s - begun_s, 3),
+    }
+
+
+def _log_lost_answer(
+    st: state.State,
+    item: state.OpenRequest,
+    attempt: state.Attempt,
+    reason: str,
+    now_s: float,
+) -> None:
+    """Log why a lost answer isn't blamed on its prompt."""
+    parts = holding_back.shared_ids(item.req)
+    if parts:
+        change = f"{attempt.server_id} is not counted as crashed"
+        log_fields = _answer_fields(item, attempt, "lost", now_s)
+        log_fields |= {"reason": reason, "parts": parts[:MAX_LOGGED]}
+        st.emit(effects.LogStateChange("crash", change, log_fields))
+
+
+def _record_sound(
+    st: state.State, parts: list[str], log_fields: dict[str, Any], now_s: float
+) -> None:
     suspected: list[str] = []
     _change(st, lambda: suspected.extend(st.quarantine.record_sound(parts, now_s)))
     for part in suspected:
-        st.emit(effects.LogStateChange("crash", f"part {part} is sound"))
+        change = f"part {part} is sound"
+        st.emit(effects.LogStateChange("crash", change, log_fields))
         report = crash_reports.SoundPart(part)
         _tell_peers(st, report)
         st.emit(effects.StoreReport(report))
@@ -181,6 +234,8 @@
     is_shared_failure = len(at_once) > MAX_SERVERS_AT_ONCE
     _report_requests(st, at_once, is_shared_failure, now_s)
     if is_shared_failure:
+        for lost in at_once:
+            _log_uncounted(st, lost, "shared failure")
         reports = []
     for report in reports:
         change = f"{report.server} ended as it began to answer"
@@ -209,8 +264,6 @@
     for lost in crashed:
         contents = sorted(c for c in lost.contents if n_servers[c] >= n_min)
         if not contents:
-            if lost.contents:
-                _log_uncounted(st, lost, "shared failure")
             continue
         report = crash_reports.CrashedRequests(lost.server, tuple(contents))
         change = f"{lost.server} ended under requests"
@@ -253,7 +306,11 @@
 
 
 def _log_uncounted(st: state.State, lost: state.LostServer, reason: str) -> None:
-    log_fields = {"reason": reason, "contents": sorted(lost.contents)[:MAX_LOGGED]}
+    contents = sorted(lost.contents)[:MAX_LOGGED]
+    log_fields: dict[str, Any] = {"reason": reason, "contents": contents}
+    if lost.prompts:
+        prompts = [sorted(prompt) for prompt in lost.prompts[:MAX_LOGGED]]
+        log_fields["prompts"] = prompts
     change = f"{lost.server} is not counted as crashed"
     st.emit(effects.LogStateChange("crash", change, log_fields))
 
--- a/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
@@ -100,7 +100,7 @@
 
     def apply_stored(
         self, stored: crash_reports.StoredReports, is_settled: bool, now_s: float
-    ) -> None:
+    ) -> list[str]:
         """Apply the reports that the store holds.
 
         Parameters
@@ -109,6 +109,11 @@
         is_settled : bool
             False while missing reports may only be lost to the store for a moment.
         now_s : float
+
+        Returns
+        -------
+        dropped : list of str
+            Servers of the reports that are dropped, as the store no longer has them.
         """
         self._sound_revisions = {
             sound.part: revision for sound, revision in stored.sound_parts
@@ -119,11 +124,14 @@
             listed.add(key)
             self._add(report, now_s)
             self._received[key].revision = revision
+        dropped = []
         if is_settled:
             for key, received in list(self._received.items()):
                 if received.revision and key not in listed:
                     del self._received[key]
+                    dropped.append(received.report.server)
         self._update()
+        return dropped
 
     def record_sound(self, parts: list[str], now_s: float) -> list[str]:
         """Record an answer that went well; return the parts that were suspected.
