Crashing prompts: an answer is sound once it has gone on, not once time has passed

Cause: an answer counted as sound a second after its first bytes, whether or not anything had come since. An engine that stood still as it began to write cleared the part under which it then crashed, at all daemons and in the store, and its own crash didn't count. Class: time that has passed is taken for evidence that something happened.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -15,8 +15,6 @@
     state,
 )
 
-BEGINNING_S = 1.0
-"""Time after the first event of an answer after which the server didn't crash on it."""
 AT_ONCE_S = 0.1
 """Servers whose connections end within this time have one cause, such as a failed rack
 or link; also the time for which a crash is not reported yet."""
@@ -54,16 +52,15 @@
     parts, content_id = holding_back.shared_ids(item.req), item.req.content_id
     is_success = 0 < event.status < FIRST_ERROR_STATUS
     is_answered = event.result is events.AttemptResult.ANSWERED
-    is_past_beginning = _is_past_beginning(attempt, now_s)
-    if (is_answered and is_success) or is_past_beginning:
-        shown_by = "answered" if is_answered else "went on"
-        _record_sound(st, parts, _answer_fields(item, attempt, shown_by, now_s), now_s)
-    is_sound = is_answered or is_past_beginning
+    if is_answered and is_success:
+        log_fields = _answer_fields(item, attempt, "answered", now_s)
+        _record_sound(st, parts, log_fields, now_s)
+    is_sound = is_answered or attempt.is_sound
     if is_sound:
         _record_sound_request(st, content_id, now_s)
     if event.is_disconnected:
         # A server that crashes on a request may crash before it answers.
-        is_beginning = is_success and bool(parts) and not is_past_beginning
+        is_beginning = is_success and bool(parts) and not attempt.is_sound
         if is_success and parts and not is_beginning:
             _log_lost_answer(st, item, attempt, "past its beginning", now_s)
         item.n_lost_beginnings += is_beginning
@@ -73,17 +70,24 @@
         _log_lost_answer(st, item, attempt, "not ended by the server", now_s)
 
 
+def on_attempt_went_on(
+    st: state.State, now_s: float, event: events.AttemptWentOn
+) -> None:
+    """Learn that a server didn't crash as it began an answer."""
+    item = st.open_requests.get(event.request_id)
+    attempt = item.attempt if item is not None else None
+    if item is None or attempt is None or attempt.id != event.attempt_id:
+        return
+    if not attempt.server_id:
+        return
+    attempt.is_sound = True
+    log_fields = _answer_fields(item, attempt, "went on", now_s)
+    _record_sound(st, holding_back.shared_ids(item.req), log_fields, now_s)
+    _record_sound_request(st, item.req.content_id, now_s)
+
+
 def on_tick(st: state.State, now_s: float) -> None:
-    """Report crashes, note answers that go well, and drop expired reports."""
-    for item in st.open_requests.values():
-        attempt = item.attempt
-        if attempt is None or not attempt.server_id or attempt.is_sound:
-            continue
-        if _is_past_beginning(attempt, now_s):
-            attempt.is_sound = True
-            log_fields = _answer_fields(item, attempt, "went on", now_s)
-            _record_sound(st, holding_back.shared_ids(item.req), log_fields, now_s)
-            _record_sound_request(st, item.req.content_id, now_s)
+    """Report crashes and drop expired reports."""
     if st.lost_servers and now_s - st.lost_servers[0].at_s >= AT_ONCE_S:
         _report_lost(st, now_s)
     _change(st, lambda: st.quarantine.expire(now_s))
@@ -134,10 +138,6 @@
     st.crashing_requests.apply_stored(event.stored, now_s)
 
 
-def _is_past_beginning(attempt: state.Attempt, now_s: float) -> bool:
-    return attempt.begun_s is not None and now_s - attempt.begun_s >= BEGINNING_S
-
-
 def _answer_fields(
     item: state.OpenRequest, attempt: state.Attempt, shown_by: str, now_s: float
 ) -> dict[str, Any]:
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -214,6 +214,24 @@
     origin: ingress.StreamOrigin | None = None
 
 
+@attrs.frozen
+class AttemptWentOn:
+    """An answer has gone on for a while after its first bytes.
+
+    Parameters
+    ----------
+    request_id : str
+    attempt_id : int
+
+    See Also
+    --------
+    bilberryridge.core.progress.AnswerProgress : the time that counts.
+    """
+
+    request_id: str
+    attempt_id: int
+
+
 @attrs.frozen
 class AttemptSilent:
     """No answer began within the time in which one was expected; the attempt goes on.
@@ -391,6 +409,7 @@
     | CallerGone
     | ServerSaid
     | AttemptBegan
+    | AttemptWentOn
     | AttemptSilent
     | AttemptEnded
     | ProbeEnded
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -166,6 +166,7 @@
     events.CallerGone: request_handlers.on_caller_gone,
     events.ServerSaid: server_word_handlers.on_server_said,
     events.AttemptBegan: request_handlers.on_attempt_began,
+    events.AttemptWentOn: crash_handlers.on_attempt_went_on,
     events.AttemptSilent: silence_handlers.on_attempt_silent,
     events.AttemptEnded: request_handlers.on_attempt_ended,
     events.ProbeEnded: path_handlers.on_probe_ended,
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -100,7 +100,7 @@
     begun_s : float or None
         When the first bytes of an answer were received.
     is_sound : bool
-        Whether the server is known not to have crashed on it.
+        Whether its answer has gone on for so long that the server didn't crash on it.
     is_silent : bool
         Whether no answer began within the time in which one was expected.
     reviewed_s : float
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
@@ -139,7 +139,8 @@
     for effect in sent[1:]:
         ids = (effect.request_id, effect.attempt_id)
         play.daemon.handle(events.AttemptBegan(*ids, True))
-    play.daemon.tick(crash_handlers.BEGINNING_S + 0.1)
+        play.daemon.handle(events.AttemptWentOn(*ids))
+    play.daemon.tick(0.1)
     told = []
     for effect in sent:
         told += play.daemon.end(effect, "lost", status=200, is_disconnected=True)
@@ -151,13 +152,23 @@
 def test_answer_that_goes_on_shows_that_its_parts_are_sound():
     play = Play()
     sent = play.send("base", "bad")
-    play.daemon.handle(events.AttemptBegan(sent.request_id, sent.attempt_id, True))
-    play.daemon.tick(crash_handlers.BEGINNING_S + 0.1)
-    play.daemon.tick(0.05)
+    ids = (sent.request_id, sent.attempt_id)
+    play.daemon.handle(events.AttemptBegan(*ids, True))
+    play.daemon.handle(events.AttemptWentOn(*ids))
     told = play.crash(sent)
     assert reports_in(told) == ([], [])
 
 
+def test_time_since_the_first_event_does_not_show_that_a_part_is_sound():
+    play = Play()
+    sent = play.send("base", "bad")
+    play.daemon.handle(events.AttemptBegan(sent.request_id, sent.attempt_id, True))
+    for _ in range(50):
+        play.daemon.tick(0.1)
+    _, [report] = reports_in(play.crash(sent))
+    assert report.prompts == (frozenset(["base", "bad"]),)
+
+
 def test_sound_answer_after_crashes_is_told_and_ends_the_quarantine():
     play = Play()
     for n in range(3):
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from bilberryridge.core import progress
 from bilberryridge.decisions.ingress import events
 from bilberryridge.transport import errors, headers, limits, timers
 from bilberryridge.transport.ingress import (
@@ -41,6 +42,9 @@
     def on_begun(self, attempt: "Attempt") -> None:
         """The first bytes of an answer were received."""
 
+    def on_went_on(self, attempt: "Attempt") -> None:
+        """The answer has gone on for a while after it began."""
+
     def on_silent(self, attempt: "Attempt") -> None:
         """Nothing of the answer was received in time; the attempt goes on."""
 
@@ -103,6 +107,7 @@
             n_answer_tokens, limits.Reservation(held_limit)
         )
         self._has_begun = False
+        self._progress = progress.AnswerProgress()
         self._sent_s = loop.now_s()
         self._first_s = 0.0
         self._n_events = 0
@@ -155,6 +160,7 @@
             self._fail(events.AttemptResult.SPOILED, "a success without its seal")
         elif not self.is_passed_through:
             self._begin()
+            self._record_progress()
 
     def on_body(self, data: bytes) -> None:
         """See `upstream.Sink`."""
@@ -173,6 +179,7 @@
     def _hold(self, data: bytes) -> None:
         self._meter.check_held()
         self._set_timer(self._stall_timeout_s)
+        self._record_progress()
         self.body += data
 
     def _pass_events(self, data: bytes) -> None:
@@ -182,10 +189,15 @@
             # Other bytes don't show that the server still works on the request.
             self._set_timer(self._stall_timeout_s)
             self._begin()
+            self._record_progress()
             self._record_gap()
             self._n_events += complete.n_events
             self._owner.on_events(self, complete)
 
+    def _record_progress(self) -> None:
+        if self._progress.record(self._loop.now_s()):
+            self._owner.on_went_on(self)
+
     def _record_gap(self) -> None:
         now_s = self._loop.now_s()
         if self._n_events:
--- a/packages/transport/bilberryridge/transport/ingress/exchange.py
+++ b/packages/transport/bilberryridge/transport/ingress/exchange.py
@@ -199,6 +199,10 @@
         )
         self._post(began)
 
+    def on_went_on(self, source: attempt.Attempt) -> None:
+        """See `attempt.Owner`."""
+        self._post(events.AttemptWentOn(self.request_id, source.id))
+
     def on_silent(self, source: attempt.Attempt) -> None:
         """See `attempt.Owner`."""
         self._post(events.AttemptSilent(self.request_id, source.id))
