Crashing prompts: a server that ends without a reset counts once it is known to be gone

Cause: only a connection that the server ends was evidence. An answer that falls silent ends at this daemon's deadline, its caller's departure or after 2.5 s of silence, and by then the server may have left the list, or be listed under another start, to which the loss was ascribed.

Change: decisions.ingress.silent_servers keeps answers that have begun and are silent for 2 s, or are given up after 1 s of silence. The server counts as crashed once that start of it is no longer listed, or a probe fails that began after another server was heard; it is dropped if it answers, leaves, or after 10 s. Silence alone is no evidence. An attempt remembers the start of the server that it was sent to. A further report of one crash adds its prompts to the one before.

--- a/packages/core/bilberryridge/core/ingress.py
+++ b/packages/core/bilberryridge/core/ingress.py
@@ -336,6 +336,11 @@
     start_time_ms: int = 0
     version: str = ""
 
+    @property
+    def start_name(self) -> str:
+        """Name of this start of the server."""
+        return f"{self.id}.{self.start_time_ms}"
+
 
 @attrs.frozen
 class EntryVm:
--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -2,7 +2,7 @@
 
 import collections
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from bilberryridge.decisions.ingress import (
@@ -11,7 +11,9 @@
     effects,
     events,
     holding_back,
+    path_handlers,
     server_table,
+    silent_servers,
     state,
 )
 
@@ -44,10 +46,7 @@
     now_s: float,
 ) -> None:
     """Learn from the end of an attempt at a server."""
-    server = st.servers.by_id.get(attempt.server_id)
-    if server is None:
-        if attempt.server_id and event.result is events.AttemptResult.LOST:
-            _log_lost_answer(st, item, attempt, "no longer listed", now_s)
+    if not attempt.server_id:
         return
     parts, content_id = holding_back.shared_ids(item.req), item.req.content_id
     is_success = 0 < event.status < FIRST_ERROR_STATUS
@@ -57,6 +56,7 @@
         _record_sound(st, parts, log_fields, now_s)
     is_sound = is_answered or attempt.is_sound
     if is_sound:
+        silent_servers.on_sound(st, attempt)
         _record_sound_request(st, content_id, now_s)
     if event.is_disconnected:
         # A server that crashes on a request may crash before it answers.
@@ -65,9 +65,9 @@
             _log_lost_answer(st, item, attempt, "past its beginning", now_s)
         item.n_lost_beginnings += is_beginning
         suspects = parts if is_beginning else []
-        _record_lost(st, server, suspects, "" if is_sound else content_id, now_s)
-    elif event.result is events.AttemptResult.LOST:
-        _log_lost_answer(st, item, attempt, "not ended by the server", now_s)
+        _record_lost(st, attempt, suspects, "" if is_sound else content_id, now_s)
+    elif event.is_silent:
+        silent_servers.note(st, item, attempt, now_s)
 
 
 def on_attempt_went_on(
@@ -81,6 +81,7 @@
     if not attempt.server_id:
         return
     attempt.is_sound = True
+    silent_servers.on_sound(st, attempt)
     log_fields = _answer_fields(item, attempt, "went on", now_s)
     _record_sound(st, holding_back.shared_ids(item.req), log_fields, now_s)
     _record_sound_request(st, item.req.content_id, now_s)
@@ -88,6 +89,10 @@
 
 def on_tick(st: state.State, now_s: float) -> None:
     """Report crashes and drop expired reports."""
+    for attempt in silent_servers.review(st, now_s):
+        path_handlers.on_silent(st, attempt, now_s)
+    for silent in silent_servers.take_ended(st, now_s):
+        _record_silent(st, silent, now_s)
     if st.lost_servers and now_s - st.lost_servers[0].at_s >= AT_ONCE_S:
         _report_lost(st, now_s)
     _change(st, lambda: st.quarantine.expire(now_s))
@@ -98,7 +103,7 @@
 ) -> None:
     """Learn from an answer that the server has not crashed."""
     if server.record.start_time_ms > 0:
-        st.crashing_requests.refute(_name_of(server), now_s - REFUTED_AFTER_S)
+        st.crashing_requests.refute(server.record.start_name, now_s - REFUTED_AFTER_S)
 
 
 def on_report(
@@ -193,26 +198,52 @@
 
 def _record_lost(
     st: state.State,
-    server: server_table.ServerState,
+    attempt: state.Attempt,
     parts: list[str],
     content_id: str,
     now_s: float,
 ) -> None:
-    name = _name_of(server)
-    lost = next((lost for lost in st.lost_servers if lost.server == name), None)
+    lost = _find_lost(st, attempt.server_start)
     if lost is None:
-        lost = state.LostServer(name, now_s, server.record.id)
+        lost = state.LostServer(attempt.server_start, now_s, attempt.server_id)
         st.lost_servers.append(lost)
     is_suspect = not st.crashing_requests.is_recently_sound(content_id, now_s)
     if content_id and is_suspect:
         lost.contents.add(content_id)
-    suspects = frozenset(
-        part for part in parts if not st.quarantine.is_recently_sound(part, now_s)
-    )
+    suspects = _suspects(st, parts, now_s)
     if suspects:
         lost.prompts.append(suspects)
 
 
+def _record_silent(st: state.State, silent: state.LostServer, now_s: float) -> None:
+    """Record a server that has turned out to have ended in silence."""
+    prompts = [_suspects(st, prompt, silent.at_s) for prompt in silent.prompts]
+    silent.prompts = [prompt for prompt in prompts if prompt]
+    silent.contents = {
+        content_id
+        for content_id in silent.contents
+        if not st.crashing_requests.is_recently_sound(content_id, silent.at_s)
+    }
+    lost = _find_lost(st, silent.server)
+    if lost is None:
+        silent.at_s = now_s
+        st.lost_servers.append(silent)
+    else:
+        lost.prompts += silent.prompts
+        lost.contents |= silent.contents
+
+
+def _find_lost(st: state.State, server: str) -> state.LostServer | None:
+    return next((lost for lost in st.lost_servers if lost.server == server), None)
+
+
+def _suspects(st: state.State, parts: Iterable[str], lost_s: float) -> frozenset[str]:
+    """Return the parts on which no answer had just gone well, or has since."""
+    return frozenset(
+        part for part in parts if not st.quarantine.is_recently_sound(part, lost_s)
+    )
+
+
 def _report_lost(st: state.State, now_s: float) -> None:
     """Report the servers lost at once, unless they are too many to have crashed."""
     first_s = st.lost_servers[0].at_s
@@ -224,19 +255,21 @@
         return
     del st.lost_servers[: len(at_once)]
     at_once = _without_uncounted(st, at_once, _is_only_path_lost, "path lost")
+    # Servers that ended in silence are found out one by one, however they were lost.
+    n_disconnected = sum(not lost.is_silent for lost in at_once)
+    is_shared_failure = n_disconnected > MAX_SERVERS_AT_ONCE
     reports = [
         crash_reports.CrashReport(
             lost.server, st.cfg.local_entry.name, tuple(lost.prompts)
         )
         for lost in at_once
-        if lost.prompts
+        if lost.prompts and (lost.is_silent or not is_shared_failure)
     ]
-    is_shared_failure = len(at_once) > MAX_SERVERS_AT_ONCE
     _report_requests(st, at_once, is_shared_failure, now_s)
     if is_shared_failure:
         for lost in at_once:
-            _log_uncounted(st, lost, "shared failure")
-        reports = []
+            if not lost.is_silent:
+                _log_uncounted(st, lost, "shared failure")
     for report in reports:
         change = f"{report.server} ended as it began to answer"
         prompts = [sorted(prompt) for prompt in report.prompts]
@@ -280,7 +313,7 @@
 
     Where no new connection is made, an open answer may only not have ended here yet.
     """
-    server = _find_server(st, lost)
+    server = silent_servers.find(st, lost)
     if server is None:
         return False
     has_open_answer = not server.path.is_lost and any(
@@ -315,19 +348,9 @@
     st.emit(effects.LogStateChange("crash", change, log_fields))
 
 
-def _find_server(
-    st: state.State, lost: state.LostServer
-) -> server_table.ServerState | None:
-    """Return a lost server; None if that start of it is no longer listed."""
-    server = st.servers.by_id.get(lost.id)
-    if server is None or _name_of(server) != lost.server:
-        return None
-    return server
-
-
 def _is_reach_unknown(st: state.State, lost: state.LostServer, vms: list[str]) -> bool:
     """Return whether other daemons may still tell that they reach a server."""
-    server = _find_server(st, lost)
+    server = silent_servers.find(st, lost)
     if server is None or not vms or _is_only_path_lost(st, lost):
         return False
     if server.path.is_lost:
@@ -340,16 +363,12 @@
 
     One that tells nothing may stand still, be cut off, or not have tried.
     """
-    server = _find_server(st, lost)
+    server = silent_servers.find(st, lost)
     if server is None or not server.path.is_lost:
         return False
     return server.reached_elsewhere_s > lost.at_s
 
 
-def _name_of(server: server_table.ServerState) -> str:
-    return f"{server.record.id}.{server.record.start_time_ms}"
-
-
 def _record_crashed(
     st: state.State, report: crash_reports.CrashedRequests, now_s: float
 ) -> None:
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -183,6 +183,8 @@
         Requests turned away within a second beyond which it falls over; None if it
         doesn't say so.
     load : ServerLoad or None
+    status : int
+        HTTP status of the answer.
     """
 
     request_id: str
@@ -192,6 +194,7 @@
     limit_per_s: float | None = None
     brittle_per_s: float | None = None
     load: ServerLoad | None = None
+    status: int = 0
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
@@ -94,7 +94,7 @@
         self._n_crashes: dict[str, int] = {}
 
     def record_crash(self, report: crash_reports.CrashReport, now_s: float) -> None:
-        """Take a report; one that was received before keeps its time."""
+        """Take a report; a further one of the same crash adds its prompts."""
         if self._add(report, now_s):
             self._update()
 
@@ -199,8 +199,12 @@
 
     def _add(self, report: crash_reports.CrashReport, now_s: float) -> bool:
         key = (report.server, report.vm)
-        if key in self._received:
-            return False
+        known = self._received.get(key)
+        if known is not None:
+            prompts = known.report.prompts
+            new = tuple(p for p in report.prompts if p not in prompts)
+            known.report = attrs.evolve(known.report, prompts=(*prompts, *new))
+            return bool(new)
         self._received[key] = _Received(report, now_s)
         if len(self._received) > MAX_REPORTS:
             del self._received[next(iter(self._received))]
--- a/packages/decisions/bilberryridge/decisions/ingress/sending.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/sending.py
@@ -10,6 +10,7 @@
     placement,
     server_limit,
     server_table,
+    silent_servers,
     state,
     take_ups,
 )
@@ -49,6 +50,7 @@
     """Close the open attempt of a request, if there is one."""
     if item.attempt is None:
         return
+    silent_servers.on_given_up(st, item, st.now_s)
     st.emit(effects.CancelAttempt(item.req.id, item.attempt.id))
     item.is_counted = True
     record_relay_ended(st, item.attempt)
@@ -76,6 +78,7 @@
     region = st.cfg.local_entry.region
     version = record.version if server.is_start_known else None
     attempt = _begin_attempt(st, item, record.id, "", region, version, now_s)
+    attempt.server_start = record.start_name
     prompt = item.req.prompt
     n_memory = prompt.n_tokens + prompt.n_answer_tokens if prompt else 0
     open_attempt = open_work.OpenAttempt(
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -22,6 +22,7 @@
     item = st.open_requests.get(event.request_id)
     if item is None or item.attempt is None or item.attempt.id != event.attempt_id:
         return
+    item.attempt.status, item.attempt.answered_s = event.status, now_s
     server = st.servers.by_id.get(item.attempt.server_id)
     if server is None:
         return
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -90,6 +90,8 @@
     id : int
     server_id : str
         Empty for an attempt through another region's daemon.
+    server_start : str
+        Name of the start of the server that it was sent to.
     peer, region : str
         Name and region of that daemon; empty and the local region for an attempt at a
         server.
@@ -99,6 +101,12 @@
     sent_s : float
     begun_s : float or None
         When the first bytes of an answer were received.
+    status : int
+        HTTP status of the server's answer; 0 before its head.
+    answered_s : float
+        When that head was received.
+    is_noted : bool
+        Whether the answer has been noted as silent; see `silent_servers`.
     is_sound : bool
         Whether its answer has gone on for so long that the server didn't crash on it.
     is_silent : bool
@@ -114,6 +122,10 @@
     version: str | None
     sent_s: float
     begun_s: float | None = None
+    server_start: str = ""
+    status: int = 0
+    answered_s: float = math.inf
+    is_noted: bool = False
     is_sound: bool = False
     is_silent: bool = False
     reviewed_s: float = float("-inf")
@@ -297,7 +309,7 @@
 
 @attrs.define
 class LostServer:
-    """A server whose connections have just ended.
+    """A server whose connections have ended, or fallen silent.
 
     Parameters
     ----------
@@ -308,6 +320,12 @@
         Shared parts of the prompts that it had just begun to answer.
     contents : set of str
         Contents of the requests that it had not answered, or just begun to.
+    is_silent : bool
+        Whether it ended without closing its connections.
+    is_reached : bool
+        Whether a connection to its address was made since it fell silent.
+    others_heard_s : float
+        When another server was known to have been heard since it fell silent.
     """
 
     server: str
@@ -315,6 +333,9 @@
     id: str
     prompts: list[frozenset[str]] = attrs.field(factory=list)
     contents: set[str] = attrs.field(factory=set)
+    is_silent: bool = False
+    is_reached: bool = False
+    others_heard_s: float = math.inf
 
 
 PlacementRule = Callable[["State", OpenRequest, float], Any]
@@ -381,6 +402,8 @@
             collections.deque(maxlen=MAX_UNSTORED_REPORTS)
         )
         self.lost_servers: list[LostServer] = []
+        self.silent_servers: dict[str, LostServer] = {}
+        self.silence_reviewed_s = -math.inf
         self.unstored_reports: collections.deque[crash_reports.CrashReport] = (
             collections.deque(maxlen=MAX_UNSTORED_REPORTS)
         )
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quarantine.py
@@ -62,6 +62,13 @@
     assert tested.find(["bad"]) is None
 
 
+def test_further_report_of_a_crash_adds_its_prompts():
+    tested = make_quarantine(["a"], ["bad"], ["b bad"])
+    tested.record_crash(report(0, "a", "c bad"), 3.0)
+    assert tested.find(["bad"])
+    assert tested.find(["a"]) is None
+
+
 def test_part_on_which_an_answer_went_well_is_not_held_back():
     tested = make_quarantine(["a"], ["a"], ["a"])
     assert tested.find(["a"])
--- a/packages/transport/bilberryridge/transport/ingress/attempt.py
+++ b/packages/transport/bilberryridge/transport/ingress/attempt.py
@@ -154,6 +154,7 @@
                     self.head.limit_per_s,
                     self.head.brittle_per_s,
                     self.head.load,
+                    status,
                 )
             )
         if self.head.kind is dialect.AnswerKind.UNVERIFIED:
