Crashing prompts: reports that the store has lost still hold

Cause: a daemon dropped each report that the store no longer listed. When leases lapse, while the store is away or at its restart, all daemons forgot the part at the same moment. Class: the absence of a record is taken for evidence that it no longer holds.

Parts that the store had told to be sound by then are taken out, as its revisions may be issued again. CrashReportsRead needs no is_settled any more. The test that reports which left the store are dropped said the opposite of what the rule asks for; in its place two tests require that reports hold, and that parts told to be sound stay so.

--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -226,9 +226,7 @@
         self._post(events.ServersRead(servers, is_settled))
         entries = decoder.entries(store_copy)
         self._post(events.EntriesRead(entries, is_settled))
-        self._on_reports(
-            events.CrashReportsRead(decoder.stored_reports(store_copy), is_settled)
-        )
+        self._on_reports(events.CrashReportsRead(decoder.stored_reports(store_copy)))
         local_entry = self._local_entry
         is_present = any(
             entry.incarnation == local_entry.incarnation for entry in entries
--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -129,17 +129,7 @@
     st: state.State, now_s: float, event: events.CrashReportsRead
 ) -> None:
     """Apply the reports that the store holds."""
-    dropped: list[str] = []
-
-    def apply() -> None:
-        stored, is_settled = event.stored, event.is_settled
-        dropped.extend(st.quarantine.apply_stored(stored, is_settled, now_s))
-
-    _change(st, apply)
-    if dropped:
-        log_fields = {"servers": sorted(dropped)[:MAX_LOGGED]}
-        change = f"{len(dropped)} reports are dropped, as the store has none of them"
-        st.emit(effects.LogStateChange("crash", change, log_fields))
+    _change(st, lambda: st.quarantine.apply_stored(event.stored, now_s))
     st.crashing_requests.apply_stored(event.stored, now_s)
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -72,10 +72,9 @@
 
 @attrs.frozen
 class CrashReportsRead:
-    """All reports on crashes that the store holds were read; see `ServersRead`."""
+    """All reports on crashes that the store holds were read."""
 
     stored: crash_reports.StoredReports
-    is_settled: bool = True
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
@@ -98,40 +98,19 @@
         if self._add(report, now_s):
             self._update()
 
-    def apply_stored(
-        self, stored: crash_reports.StoredReports, is_settled: bool, now_s: float
-    ) -> list[str]:
-        """Apply the reports that the store holds.
-
-        Parameters
-        ----------
-        stored : StoredReports
-        is_settled : bool
-            False while missing reports may only be lost to the store for a moment.
-        now_s : float
-
-        Returns
-        -------
-        dropped : list of str
-            Servers of the reports that are dropped, as the store no longer has them.
-        """
+    def apply_stored(self, stored: crash_reports.StoredReports, now_s: float) -> None:
+        """Apply the reports that the store holds; those that it has lost still hold."""
+        listed = {(report.server, report.vm) for report, _ in stored.crashes}
+        for key, received in self._received.items():
+            if received.revision and key not in listed:
+                self._forget_revision(received)
         self._sound_revisions = {
             sound.part: revision for sound, revision in stored.sound_parts
         }
-        listed = set()
         for report, revision in stored.crashes:
-            key = (report.server, report.vm)
-            listed.add(key)
             self._add(report, now_s)
-            self._received[key].revision = revision
-        dropped = []
-        if is_settled:
-            for key, received in list(self._received.items()):
-                if received.revision and key not in listed:
-                    del self._received[key]
-                    dropped.append(received.report.server)
+            self._received[report.server, report.vm].revision = revision
         self._update()
-        return dropped
 
     def record_sound(self, parts: list[str], now_s: float) -> list[str]:
         """Record an answer that went well; return the parts that were suspected.
@@ -210,6 +189,17 @@
             del self._received[next(iter(self._received))]
         return True
 
+    def _forget_revision(self, received: _Received) -> None:
+        """Keep a report for itself; the store may issue its revision again."""
+        prompts = tuple(
+            frozenset(
+                part for part in prompt if not self._is_sound_since(part, received)
+            )
+            for prompt in received.report.prompts
+        )
+        received.report = attrs.evolve(received.report, prompts=prompts)
+        received.revision = 0
+
     def _update(self) -> None:
         suspicions = self._suspicions()
         self._n_crashes = {
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quarantine.py
@@ -89,23 +89,33 @@
     tested = quarantine.Quarantine()
     crashes = tuple((report(n, "a b"), 10 + n) for n in range(3))
     sound = ((crash_reports.SoundPart("a"), 20),)
-    tested.apply_stored(crash_reports.StoredReports(crashes, sound), True, 0.0)
+    tested.apply_stored(crash_reports.StoredReports(crashes, sound), 0.0)
     assert tested.find(["a"]) is None
     assert tested.find(["b"])
 
 
-@pytest.mark.parametrize("is_settled", [True, False])
-def test_reports_that_left_the_store_are_dropped_once_it_is_settled(is_settled):
+def test_reports_that_the_store_has_lost_still_hold():
     tested = quarantine.Quarantine()
     crashes = tuple((report(n, "a"), 10 + n) for n in range(3))
-    tested.apply_stored(crash_reports.StoredReports(crashes), True, 0.0)
-    tested.apply_stored(crash_reports.StoredReports(), is_settled, 1.0)
-    assert (tested.find(["a"]) is None) is is_settled
+    tested.apply_stored(crash_reports.StoredReports(crashes), 0.0)
+    for _ in range(2):
+        tested.apply_stored(crash_reports.StoredReports(), 1.0)
+        assert tested.find(["a"])
+
+
+def test_part_that_the_store_told_to_be_sound_stays_so_when_it_has_lost_that():
+    tested = quarantine.Quarantine()
+    crashes = tuple((report(n, "a b"), 10 + n) for n in range(3))
+    sound = ((crash_reports.SoundPart("a"), 20),)
+    tested.apply_stored(crash_reports.StoredReports(crashes, sound), 0.0)
+    tested.apply_stored(crash_reports.StoredReports(), 1.0)
+    assert tested.find(["a"]) is None
+    assert tested.find(["b"])
 
 
 def test_report_that_is_not_stored_yet_holds():
     tested = make_quarantine(["a"], ["a"], ["a"])
-    tested.apply_stored(crash_reports.StoredReports(), True, 5.0)
+    tested.apply_stored(crash_reports.StoredReports(), 5.0)
     assert tested.find(["a"])
 
 
