Crashing prompts: a daemon that links later is told the parts that are held back

Cause: on linking, a daemon was told the requests that are held back, but not the parts of prompts; these it could learn from the store only, which may have lost them. Class: what is known at one place isn't told to those that come later.

Change: the reports that parts are held back for are sent on linking, without parts that an answer has shown to be sound since.

--- a/packages/decisions/bilberryridge/decisions/ingress/holding_back.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/holding_back.py
@@ -58,9 +58,11 @@
 
 
 def tell_all(st: state.State, vm: str, now_s: float) -> None:
-    """Tell a newly linked daemon the requests that are held back."""
-    for report in st.crashing_requests.held_back(now_s):
-        st.emit(effects.SendPeerMessage(vm, report))
+    """Tell a newly linked daemon the prompts and requests that are held back."""
+    for crash in st.quarantine.held_back():
+        st.emit(effects.SendPeerMessage(vm, crash))
+    for crashed in st.crashing_requests.held_back(now_s):
+        st.emit(effects.SendPeerMessage(vm, crashed))
 
 
 def _is_trying(st: state.State, content_id: str, now_s: float) -> bool:
--- a/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
@@ -150,6 +150,17 @@
                 return part
         return None
 
+    def held_back(self) -> list[crash_reports.CrashReport]:
+        """Return the reports that parts are held back for."""
+        reports = [
+            self._without_sound_parts(received) for received in self._received.values()
+        ]
+        return [
+            report
+            for report in reports
+            if any(not prompt.isdisjoint(self.signatures) for prompt in report.prompts)
+        ]
+
     def ends_in_s(self, part: str, now_s: float) -> float:
         """Return the time until the reports on a part in quarantine expire."""
         newest_s = max(
@@ -191,14 +202,15 @@
 
     def _forget_revision(self, received: _Received) -> None:
         """Keep a report for itself; the store may issue its revision again."""
+        received.report = self._without_sound_parts(received)
+        received.revision = 0
+
+    def _without_sound_parts(self, received: _Received) -> crash_reports.CrashReport:
         prompts = tuple(
-            frozenset(
-                part for part in prompt if not self._is_sound_since(part, received)
-            )
+            frozenset(p for p in prompt if not self._is_sound_since(p, received))
             for prompt in received.report.prompts
         )
-        received.report = attrs.evolve(received.report, prompts=prompts)
-        received.revision = 0
+        return attrs.evolve(received.report, prompts=prompts)
 
     def _update(self) -> None:
         suspicions = self._suspicions()
@@ -216,10 +228,7 @@
     def _suspicions(self) -> dict[str, _Suspicion]:
         suspicions: dict[str, _Suspicion] = {}
         for received in self._received.values():
-            for prompt in received.report.prompts:
-                suspects = frozenset(
-                    part for part in prompt if not self._is_sound_since(part, received)
-                )
+            for suspects in self._without_sound_parts(received).prompts:
                 for part in suspects:
                     suspicion = suspicions.setdefault(part, _Suspicion(suspects))
                     suspicion.add(suspects, received.report.server)
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
@@ -184,6 +184,21 @@
     assert isinstance(play.send("a", "b"), effects.SendToServer)
 
 
+def test_daemon_that_links_later_is_told_the_parts_that_are_held_back():
+    play = Play()
+    play.crash_engines(3, "base", "bad")
+    play.crash(play.send("other"))
+    linked = deployment.Daemon(servers=[deployment.server("e0", "model")])
+    for effect in play.daemon.handle(events.LinkUp(PEER)):
+        if isinstance(effect, effects.SendPeerMessage):
+            linked.handle(events.PeerSaid("vm-1", effect.message))
+    held_back = linked.arrive("1", "query", prompt=prompt("base", "bad"))
+    assert isinstance(held_back, effects.Refuse)
+    assert isinstance(
+        linked.arrive("2", "query", prompt=prompt("other")), effects.SendToServer
+    )
+
+
 def test_prompt_that_waits_at_an_engine_is_called_back():
     play = Play()
     waiting = play.send("base", "bad")
