Crashing prompts: reports are bounded by crash, not by daemon that reports it

Before a fleet of 97 daemons four crashes fill that, and the oldest, of parts that are held back, were dropped first, whereupon three more servers crash.

Change: what daemons report of one crash is one record, at most 300 crashes with 200 prompts each; those that a part is held back for are dropped last.

Evidence: test_crashes_that_a_whole_fleet_reports_do_not_drop_a_part_held_back and test_reports_on_parts_held_back_are_dropped_last failed before; 626 tests of decisions.ingress pass. Not shown on real daemons, where so many were not started.

--- a/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/quarantine.py
@@ -19,7 +19,10 @@
 while they begin to answer prompts with the same part."""
 REPORT_TTL_S = 600.0
 """Time after which a report no longer counts; a part is tried again then."""
-MAX_REPORTS = 300
+MAX_CRASHES = 300
+"""Crashes whose reports are kept; a fleet that loses a region has fewer."""
+MAX_PROMPTS = 200
+"""Prompts of one crash that are kept; a server answers fewer at once."""
 MAX_SOUND_PARTS = 5_000
 RECENTLY_SOUND_S = 3.0
 """Time after a sound answer in which a part isn't reported after a crash."""
@@ -27,7 +30,10 @@
 
 @attrs.define
 class _Received:
-    """A report and when it was received; the revision is 0 if it isn't stored yet."""
+    """What daemons reported of a crash, and when that was first received.
+
+    The revision is the store's latest of these reports; 0 if it has none.
+    """
 
     report: crash_reports.CrashReport
     at_s: float
@@ -88,7 +94,7 @@
 
     def __init__(self) -> None:
         self.signatures: dict[str, frozenset[str]] = {}
-        self._received: dict[tuple[str, str], _Received] = {}
+        self._received: dict[str, _Received] = {}
         self._sound_s: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._sound_revisions: dict[str, int] = {}
         self._n_crashes: dict[str, int] = {}
@@ -100,16 +106,19 @@
 
     def apply_stored(self, stored: crash_reports.StoredReports, now_s: float) -> None:
         """Apply the reports that the store holds; those that it has lost still hold."""
-        listed = {(report.server, report.vm) for report, _ in stored.crashes}
-        for key, received in self._received.items():
-            if received.revision and key not in listed:
+        revisions: dict[str, int] = {}
+        for report, revision in stored.crashes:
+            revisions[report.server] = max(revision, revisions.get(report.server, 0))
+        for server, received in self._received.items():
+            if received.revision and server not in revisions:
                 self._forget_revision(received)
         self._sound_revisions = {
             sound.part: revision for sound, revision in stored.sound_parts
         }
-        for report, revision in stored.crashes:
+        for report, _ in stored.crashes:
             self._add(report, now_s)
-            self._received[report.server, report.vm].revision = revision
+        for server, received in self._received.items():
+            received.revision = revisions.get(server, 0)
         self._update()
 
     def record_sound(self, parts: list[str], now_s: float) -> list[str]:
@@ -178,27 +187,35 @@
         if not self._received:
             return
         expired = [
-            key
-            for key, received in self._received.items()
+            server
+            for server, received in self._received.items()
             if now_s - received.at_s > REPORT_TTL_S
         ]
-        for key in expired:
-            del self._received[key]
+        for server in expired:
+            del self._received[server]
         if expired:
             self._update()
 
     def _add(self, report: crash_reports.CrashReport, now_s: float) -> bool:
-        key = (report.server, report.vm)
-        known = self._received.get(key)
-        if known is not None:
-            prompts = known.report.prompts
-            new = tuple(p for p in report.prompts if p not in prompts)
-            known.report = attrs.evolve(known.report, prompts=(*prompts, *new))
-            return bool(new)
-        self._received[key] = _Received(report, now_s)
-        if len(self._received) > MAX_REPORTS:
-            del self._received[next(iter(self._received))]
-        return True
+        """Add a report; return whether it tells something new."""
+        known = self._received.get(report.server)
+        if known is None:
+            self._received[report.server] = _Received(report, now_s)
+            self._evict()
+            return True
+        prompts = known.report.prompts
+        new = tuple(prompt for prompt in report.prompts if prompt not in prompts)
+        prompts = (*prompts, *new)[:MAX_PROMPTS]
+        known.report = attrs.evolve(known.report, prompts=prompts)
+        return bool(new)
+
+    def _evict(self) -> None:
+        """Drop the oldest reports, those that parts are held back for last."""
+        if len(self._received) <= MAX_CRASHES:
+            return
+        needed = {report.server for report in self.held_back()}
+        unneeded = (server for server in self._received if server not in needed)
+        del self._received[next(unneeded, next(iter(self._received)))]
 
     def _forget_revision(self, received: _Received) -> None:
         """Keep a report for itself; the store may issue its revision again."""
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_quarantine.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_quarantine.py
@@ -126,11 +126,31 @@
     assert tested.find(["a"]) is None
 
 
+def test_crashes_that_a_whole_fleet_reports_do_not_drop_a_part_held_back():
+    tested = quarantine.Quarantine()
+    vms = [f"vm-{n}" for n in range(97)]
+    for number in range(13):
+        prompt = "bad" if number < 3 else f"other-{number}"
+        for vm in vms:
+            tested.record_crash(report(number, prompt, vm=vm), float(number))
+    assert tested.find(["bad"])
+
+
+def test_reports_on_parts_held_back_are_dropped_last():
+    tested = make_quarantine(["bad"], ["bad"], ["bad"])
+    for number in range(3, 2 * quarantine.MAX_CRASHES):
+        tested.record_crash(report(number, f"other-{number}"), float(number))
+    assert tested.find(["bad"])
+
+
 def test_reports_and_sound_parts_are_bounded():
     tested = quarantine.Quarantine()
-    for n in range(quarantine.MAX_REPORTS + 50):
+    for n in range(quarantine.MAX_CRASHES + 50):
         tested.record_crash(report(n, f"p{n}"), float(n))
+    for n in range(quarantine.MAX_PROMPTS + 50):
+        tested.record_crash(report(9_999, f"q{n}", vm=f"vm-{n}"), 1_000.0)
     for n in range(quarantine.MAX_SOUND_PARTS + 50):
         tested.record_sound([f"s{n}"], 1_000.0)
-    assert len(tested._received) == quarantine.MAX_REPORTS
+    assert len(tested._received) == quarantine.MAX_CRASHES
+    assert len(tested._received["server-9999"].report.prompts) == quarantine.MAX_PROMPTS
     assert len(tested._sound_s) == quarantine.MAX_SOUND_PARTS
