Crashing prompts: an answer that only its connection ends isn't sound at once

Cause: such a stream ends with its connection, and a process that is killed closes its connections just so. After one event the crash was taken for the end of a whole answer, which cleared the part at all daemons and in the store. Class: a word that two events give is taken for one of them.

Change: an answer without a marked end, unless it has gone on for a second, is kept in silent_servers. It is sound once its server is heard half a second later, and blamed if that start of the server leaves the list or can't be reached while others are. Answers are kept one by one, as a server's earlier answer may be shown to be whole while the latest isn't.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -51,10 +51,13 @@
     parts, content_id = holding_back.shared_ids(item.req), item.req.content_id
     is_success = 0 < event.status < FIRST_ERROR_STATUS
     is_answered = event.result is events.AttemptResult.ANSWERED
-    if is_answered and is_success:
+    is_shown_whole = event.is_end_marked or not is_success or attempt.is_sound
+    if is_answered and not is_shown_whole:
+        silent_servers.note_unproven(st, item, attempt, now_s)
+    elif is_answered and is_success:
         log_fields = _answer_fields(item, attempt, "answered", now_s)
         _record_sound(st, parts, log_fields, now_s)
-    is_sound = is_answered or attempt.is_sound
+    is_sound = (is_answered and is_shown_whole) or attempt.is_sound
     if is_sound:
         silent_servers.on_sound(st, attempt)
         _record_sound_request(st, content_id, now_s)
@@ -91,8 +94,13 @@
     """Report crashes and drop expired reports."""
     for attempt in silent_servers.review(st, now_s):
         path_handlers.on_silent(st, attempt, now_s)
-    for silent in silent_servers.take_ended(st, now_s):
-        _record_silent(st, silent, now_s)
+    turned_out = silent_servers.take_ended(st, now_s)
+    for answer in turned_out.sound:
+        log_fields = {"shown_by": "its server went on"}
+        _record_sound(st, sorted(answer.parts), log_fields, now_s)
+        _record_sound_request(st, answer.content_id, now_s)
+    for lost in turned_out.servers:
+        _record_silent(st, lost)
     if st.lost_servers and now_s - st.lost_servers[0].at_s >= AT_ONCE_S:
         _report_lost(st, now_s)
     _change(st, lambda: st.quarantine.expire(now_s))
@@ -205,18 +213,18 @@
         lost.prompts.append(suspects)
 
 
-def _record_silent(st: state.State, silent: state.LostServer, now_s: float) -> None:
+def _record_silent(st: state.State, silent: state.LostServer) -> None:
     """Record a server that has turned out to have ended in silence."""
-    prompts = [_suspects(st, prompt, silent.at_s) for prompt in silent.prompts]
+    assert silent.silent_s is not None
+    prompts = [_suspects(st, prompt, silent.silent_s) for prompt in silent.prompts]
     silent.prompts = [prompt for prompt in prompts if prompt]
     silent.contents = {
         content_id
         for content_id in silent.contents
-        if not st.crashing_requests.is_recently_sound(content_id, silent.at_s)
+        if not st.crashing_requests.is_recently_sound(content_id, silent.silent_s)
     }
     lost = _find_lost(st, silent.server)
     if lost is None:
-        silent.at_s = now_s
         st.lost_servers.append(silent)
     else:
         lost.prompts += silent.prompts
@@ -246,19 +254,19 @@
     del st.lost_servers[: len(at_once)]
     at_once = _without_uncounted(st, at_once, _is_only_path_lost, "path lost")
     # Servers that ended in silence are found out one by one, however they were lost.
-    n_disconnected = sum(not lost.is_silent for lost in at_once)
+    n_disconnected = sum(lost.silent_s is None for lost in at_once)
     is_shared_failure = n_disconnected > MAX_SERVERS_AT_ONCE
     reports = [
         crash_reports.CrashReport(
             lost.server, st.cfg.local_entry.name, tuple(lost.prompts)
         )
         for lost in at_once
-        if lost.prompts and (lost.is_silent or not is_shared_failure)
+        if lost.prompts and (lost.silent_s is not None or not is_shared_failure)
     ]
     _report_requests(st, at_once, is_shared_failure, now_s)
     if is_shared_failure:
         for lost in at_once:
-            if not lost.is_silent:
+            if lost.silent_s is None:
                 _log_uncounted(st, lost, "shared failure")
     for report in reports:
         change = f"{report.server} ended as it began to answer"
--- a/packages/decisions/bilberryridge/decisions/ingress/state.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/state.py
@@ -320,12 +320,8 @@
         Shared parts of the prompts that it had just begun to answer.
     contents : set of str
         Contents of the requests that it had not answered, or just begun to.
-    is_silent : bool
-        Whether it ended without closing its connections.
-    is_reached : bool
-        Whether a connection to its address was made since it fell silent.
-    others_heard_s : float
-        When another server was known to have been heard since it fell silent.
+    silent_s : float or None
+        When it fell silent, if it ended without closing its connections.
     """
 
     server: str
@@ -333,7 +329,51 @@
     id: str
     prompts: list[frozenset[str]] = attrs.field(factory=list)
     contents: set[str] = attrs.field(factory=set)
-    is_silent: bool = False
+    silent_s: float | None = None
+
+
+@attrs.frozen
+class SilentAnswer:
+    """An answer that doesn't tell whether its server crashed.
+
+    Parameters
+    ----------
+    at_s : float
+        When it ended or was found to be silent.
+    parts : frozenset of str
+        Shared parts of its prompt.
+    content_id : str
+        See `ingress.Request`.
+    is_whole : bool
+        Whether it is whole if the server goes on serving.
+    """
+
+    at_s: float
+    parts: frozenset[str]
+    content_id: str
+    is_whole: bool
+
+
+@attrs.define
+class SilentServer:
+    """A server that may have crashed under answers that it had begun.
+
+    Parameters
+    ----------
+    server, id : str
+    noted_s : float
+        When the latest of the answers was noted.
+    answers : list of SilentAnswer
+    is_reached : bool
+        Whether a connection to its address was made since.
+    others_heard_s : float
+        When another server was known to have been heard since.
+    """
+
+    server: str
+    id: str
+    noted_s: float
+    answers: list[SilentAnswer] = attrs.field(factory=list)
     is_reached: bool = False
     others_heard_s: float = math.inf
 
@@ -402,7 +442,7 @@
             collections.deque(maxlen=MAX_UNSTORED_REPORTS)
         )
         self.lost_servers: list[LostServer] = []
-        self.silent_servers: dict[str, LostServer] = {}
+        self.silent_servers: dict[str, SilentServer] = {}
         self.silence_reviewed_s = -math.inf
         self.unstored_reports: collections.deque[crash_reports.CrashReport] = (
             collections.deque(maxlen=MAX_UNSTORED_REPORTS)
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
@@ -8,6 +8,7 @@
     crash_reports,
     effects,
     events,
+    silent_servers,
 )
 from bilberryridge.decisions.ingress.tests import deployment
 
@@ -199,6 +200,45 @@
     )
 
 
+def end_with_connection(play, sent):
+    """End an answer whose end only that of its connection shows."""
+    ids = (sent.request_id, sent.attempt_id)
+    play.daemon.handle(events.ServerSaid(*ids, status=200))
+    changes = {"status": 200, "is_end_marked": False, "n_events": 1}
+    return play.daemon.end(sent, "answered", **changes)
+
+
+def test_answer_without_a_marked_end_counts_as_a_crash_where_its_server_is_gone():
+    play = Play()
+    sent = play.send("base", "bad")
+    end_with_connection(play, sent)
+    left = [
+        deployment.server(f"e{n}", "model", n_slots=64)
+        for n in range(N_ENGINES)
+        if f"e{n}" != sent.server.id
+    ]
+    play.daemon.handle(events.ServersRead(tuple(left)))
+    play.daemon.tick(0.1)
+    _, [report] = reports_in(play.daemon.tick(2 * crash_handlers.AT_ONCE_S))
+    assert report.prompts == (frozenset(["base", "bad"]),)
+
+
+def test_answer_without_a_marked_end_is_sound_once_its_server_goes_on():
+    play = Play()
+    for n in range(2):
+        report = crash_reports.CrashReport(f"x{n}", "vm-2", (frozenset(["a"]),))
+        play.daemon.handle(events.PeerSaid("vm-2", report))
+    sent = play.send("a")
+    stored, _ = reports_in(end_with_connection(play, sent))
+    assert stored == []
+    play.daemon.tick(2 * silent_servers.HEARD_AFTER_S)
+    others = [play.send("other", f"{n}") for n in range(4 * N_ENGINES)]
+    other = next(effect for effect in others if effect.server.id == sent.server.id)
+    play.daemon.handle(events.ServerSaid(other.request_id, other.attempt_id))
+    stored, _ = reports_in(play.daemon.tick(0.1))
+    assert [report.part for report in stored] == ["a"]
+
+
 def test_prompt_that_waits_at_an_engine_is_called_back():
     play = Play()
     waiting = play.send("base", "bad")
