Own interface: a body without end is closed at 64 MiB

Cause: on our own interface only heads and single events were bounded; the body of an answer was passed on for as long as it came.

Change: beyond 64 MiB the attempt ends as lost and its connection is closed, as on the ingress path.

What was held in memory was bounded before, as the source is paused while the caller doesn't read.

--- a/packages/transport/bilberryridge/transport/attempt.py
+++ b/packages/transport/bilberryridge/transport/attempt.py
@@ -19,6 +19,8 @@
 from bilberryridge.utilities import transfers
 
 MAX_STORED_BODY_BYTES = 16_384
+MAX_ANSWER_BYTES = 64 << 20
+"""Size limit of the body of an answer; a faulty server may send without end."""
 EVENT_STREAM = "text/event-stream"
 OK = 200
 FIRST_ERROR = 300
@@ -78,6 +80,7 @@
         self._stream: completeness.EventStream | None = None
         self._held = bytearray()
         self._has_body = False
+        self._n_bytes = 0
         self._may_have_been_sent = False
         self._is_crossed = False
         self._is_timed_out = False
@@ -139,6 +142,9 @@
                 self.is_paused = True
                 self._owner.on_paused(self)
                 return pycurl.WRITEFUNC_PAUSE
+            self._n_bytes += len(chunk)
+            if self._n_bytes > MAX_ANSWER_BYTES:
+                return ABORT_TRANSFER
             if self._stream is not None:
                 chunk = self._stream.feed(chunk)
             self.exchange.pass_on(chunk)
