Soak: prompts that crash engines in four ways, and services that stand still

Seeds from 5,000 on have both beside the other faults: a part crashes engines at once, after a pause, in silence or as the end of an unframed stream, while daemons and the store fail. Callers' prompts share the first part with these, so that a part held back wrongly breaks the recovery.

--- a/packages/soak/bilberryridge/soak/schedules.py
+++ b/packages/soak/bilberryridge/soak/schedules.py
@@ -31,9 +31,11 @@
     SERVICE_BUSY = "let backend servers of a service ask to be left alone"
     SERVICE_LIMITED = "let backend servers of a service name a rate limit"
     CRASHING_REQUEST = "send a request that crashes backend servers again and again"
+    SERVERS_PAUSE = "let all backend servers of a service stand still for a second"
+    CRASHING_PROMPT = "send prompts with a part that crashes engines in several ways"
 
 
-ALL_FAULTS = tuple(Fault)
+ALL_FAULTS = tuple(fault for fault in Fault if fault is not Fault.CRASHING_PROMPT)
 FIRST_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(Fault.CONFIGURE) + 1]
 """The kinds from which the schedules of seeds up to 999 are drawn, so that a seed keeps
 its schedule when kinds are added."""
@@ -41,7 +43,10 @@
 """Likewise for the seeds from 1,000 to 1,999."""
 THIRD_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(Fault.SERVICE_BUSY) + 1]
 """Likewise for the seeds from 2,000 to 2,999."""
-FIRST_SEED_OF_SECOND, FIRST_SEED_OF_THIRD, FIRST_SEED_OF_ALL = 1_000, 2_000, 3_000
+FOURTH_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(Fault.CRASHING_REQUEST) + 1]
+"""Likewise for the seeds from 3,000 to 4,999."""
+FIRST_SEED_OF_SECOND, FIRST_SEED_OF_THIRD, FIRST_SEED_OF_FOURTH = 1_000, 2_000, 3_000
+FIRST_SEED_OF_ALL = 5_000
 
 
 @attrs.frozen
@@ -68,7 +73,8 @@
 
     Seeds from `FIRST_SEED_OF_ALL` on draw from all kinds of fault.
 
-    Few kinds of fault are drawn and repeated, and faults overlap. All have ended
+    Few kinds of fault are drawn and repeated, and faults overlap; seeds from
+    `FIRST_SEED_OF_ALL` on have prompts that crash engines besides. All have ended
     before the last third of the run, in which the deployment must recover.
 
     Examples
@@ -88,6 +94,10 @@
         duration_s = min(random_state.uniform(0.3, 3.0), end_s - at_s)
         fault = random_state.choice(faults)
         steps.append(Step(at_s, duration_s, fault, random_state.randrange(1 << 30)))
+    if seed >= FIRST_SEED_OF_ALL:
+        # The bound on what still reaches engines begins seconds after the crashes.
+        at_s, fault = random_state.uniform(0.5, end_s / 4), Fault.CRASHING_PROMPT
+        steps.append(Step(at_s, end_s - at_s, fault, random_state.randrange(1 << 30)))
     return sorted(steps, key=lambda step: step.at_s)
 
 
@@ -96,4 +106,6 @@
         return FIRST_FAULTS
     if seed < FIRST_SEED_OF_THIRD:
         return SECOND_FAULTS
-    return THIRD_FAULTS if seed < FIRST_SEED_OF_ALL else ALL_FAULTS
+    if seed < FIRST_SEED_OF_FOURTH:
+        return THIRD_FAULTS
+    return FOURTH_FAULTS if seed < FIRST_SEED_OF_ALL else ALL_FAULTS
