Crashes: an answer of a server's next start doesn't show that the one before lived

Cause: a server may start again under its id and address. While the store doesn't tell, the daemon still lists the start before, and an answer of the next one was taken for that: it showed that a server had not crashed, voided reports of its crash under requests, and now cleared prompt parts. Class: a word of one start is taken for another's.

Change: an answer counts for the listed start only if no connection had to be made after all had ended, or the store's changes are known as of a later moment.

The decision test of it failed before.

--- a/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/crash_handlers.py
@@ -110,7 +110,7 @@
     st: state.State, server: server_table.ServerState, now_s: float
 ) -> None:
     """Learn from an answer that the server has not crashed."""
-    if server.record.start_time_ms > 0:
+    if server.record.start_time_ms > 0 and server.shown_s == now_s:
         st.crashing_requests.refute(server.record.start_name, now_s - REFUTED_AFTER_S)
 
 
@@ -317,7 +317,7 @@
     has_open_answer = not server.path.is_lost and any(
         attempt.has_begun for attempt in server.work.local_attempts.values()
     )
-    return has_open_answer or server.heard_s > lost.at_s
+    return has_open_answer or server.shown_s > lost.at_s
 
 
 def _without_uncounted(
--- a/packages/decisions/bilberryridge/decisions/ingress/server_starts.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_starts.py
@@ -33,6 +33,7 @@
     for server in st.servers.by_id.values():
         if server.record.address != event.address:
             continue
+        server.connected_s = now_s
         doubt(st, server, now_s)
         if server.is_start_known:
             continue
--- a/packages/decisions/bilberryridge/decisions/ingress/server_table.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_table.py
@@ -105,6 +105,10 @@
     start_window : SlowStart
     heard_s : float
         When it last began an answer to this daemon.
+    shown_s : float
+        When it last did so as the start that `record` tells of, by the store's word.
+    connected_s : float
+        When it was last reached after no connection to it had lasted.
     lost_elsewhere_s : float
         When another daemon last told that it has lost its path.
     reached_elsewhere_s : float
@@ -118,7 +122,7 @@
     is_start_known : bool
         Whether it is surely the start that `record` tells of; see `server_starts`.
     reached_s : float
-        When it was last reached after no connection to it had lasted.
+        The same for a server that names its version.
     path_back_s : float
         When its lost path was last found to be back.
     """
@@ -146,6 +150,8 @@
     pace: server_pace.ServerPace = attrs.field(factory=server_pace.ServerPace)
     start_window: slow_start.SlowStart = attrs.field(factory=slow_start.SlowStart)
     heard_s: float = -math.inf
+    shown_s: float = -math.inf
+    connected_s: float = -math.inf
     lost_elsewhere_s: float = -math.inf
     reached_elsewhere_s: float = -math.inf
     n_reached_unreported: int = 0
@@ -232,8 +238,17 @@
         is_late = waited_s >= max(MIN_SILENT_S, SILENT_FACTOR * oldest.expected_s)
         return waited_s if is_late else 0.0
 
-    def record_heard(self, now_s: float) -> None:
-        """Record that the server has begun an answer."""
+    def record_heard(self, now_s: float, store_known_s: float = math.inf) -> None:
+        """Record that the server has begun an answer.
+
+        Parameters
+        ----------
+        now_s : float
+        store_known_s : float
+            As of when the store's changes are known; it may have started again since.
+        """
+        if self.connected_s <= store_known_s:
+            self.shown_s = now_s
         if self.silent_s(now_s) > 0:
             self.silence_ended_s = now_s
             self._is_silence_counted = False
--- a/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/server_word_handlers.py
@@ -27,7 +27,7 @@
     if server is None:
         return
     silent_s = server.silent_s(now_s)
-    server.record_heard(now_s)
+    server.record_heard(now_s, st.store_known_s)
     slow_start_handlers.on_heard(st, server, silent_s, now_s)
     crash_handlers.on_server_said(st, server, now_s)
     stated_pace = event.load.pace if event.load is not None else None
--- a/packages/decisions/bilberryridge/decisions/ingress/silent_servers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/silent_servers.py
@@ -149,8 +149,8 @@
 def _take_sound(
     server: server_table.ServerState, silent: state.SilentServer
 ) -> list[state.SilentAnswer]:
-    """Remove the answers after which the server was heard; return the whole ones."""
-    before_s = server.heard_s - HEARD_AFTER_S
+    """Remove the answers after which the server went on; return the whole ones."""
+    before_s = server.shown_s - HEARD_AFTER_S
     heard_after = [answer for answer in silent.answers if answer.at_s < before_s]
     silent.answers = [answer for answer in silent.answers if answer.at_s >= before_s]
     return [answer for answer in heard_after if answer.is_whole]
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
@@ -37,6 +37,14 @@
         self.daemon = make_daemon()
         self.n = 0
 
+    def restart_engines(self):
+        """List another start of each engine."""
+        started = [
+            deployment.server(f"e{n}", "model", n_slots=64, start_time_ms=self.n)
+            for n in range(N_ENGINES)
+        ]
+        self.daemon.handle(events.ServersRead(tuple(started)))
+
     def send(self, *shared, path="query"):
         self.n += 1
         return self.daemon.arrive(str(self.n), path, prompt=prompt(*shared))
@@ -239,6 +247,26 @@
     assert [report.part for report in stored] == ["a"]
 
 
+def test_answer_of_the_next_start_does_not_show_that_the_one_before_lived():
+    play = Play()
+    for n in range(2):
+        report = crash_reports.CrashReport(f"x{n}", "vm-2", (frozenset(["a"]),))
+        play.daemon.handle(events.PeerSaid("vm-2", report))
+    sent = play.send("a")
+    play.daemon.handle(events.StoreContact(False, play.daemon.now_s))
+    end_with_connection(play, sent)
+    play.daemon.tick(2 * silent_servers.HEARD_AFTER_S)
+    play.daemon.handle(events.ServerReached(sent.server.address))
+    others = [play.send("other", f"{n}") for n in range(4 * N_ENGINES)]
+    other = next(effect for effect in others if effect.server.id == sent.server.id)
+    play.daemon.handle(events.ServerSaid(other.request_id, other.attempt_id))
+    assert reports_in(play.daemon.tick(0.1)) == ([], [])
+    play.restart_engines()
+    play.daemon.tick(0.1)
+    _, [report] = reports_in(play.daemon.tick(2 * crash_handlers.AT_ONCE_S))
+    assert report.prompts == (frozenset(["a"]),)
+
+
 def test_prompt_that_waits_at_an_engine_is_called_back():
     play = Play()
     waiting = play.send("base", "bad")
