--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crash_handlers.py
@@ -4,10 +4,10 @@
 
 from bilberryridge.core import ingress, outcomes
 from bilberryridge.decisions.ingress import (
-    crash_handlers,
     crash_reports,
     effects,
     events,
+    lost_servers,
     silent_servers,
 )
 from bilberryridge.decisions.ingress.tests import deployment
@@ -53,7 +53,7 @@
         """End an attempt as a crash of its server; return the effects until a tick."""
         values = {"status": 200, "is_disconnected": True, **changes}
         told = self.daemon.end(sent, "lost", **values)
-        return told + self.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+        return told + self.daemon.tick(2 * lost_servers.AT_ONCE_S)
 
     def crash_engines(self, n_crashes, *shared, path="query"):
         for _ in range(n_crashes):
@@ -138,7 +138,7 @@
     told = []
     for effect in sent:
         told += play.daemon.end(effect, "lost", status=200, is_disconnected=True)
-    told += play.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+    told += play.daemon.tick(2 * lost_servers.AT_ONCE_S)
     return [r for r in reports_in(told)[1] if isinstance(r, crash_reports.CrashReport)]
 
 
@@ -172,7 +172,7 @@
     told = []
     for effect in sent:
         told += play.daemon.end(effect, "lost", status=200, is_disconnected=True)
-    told += play.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+    told += play.daemon.tick(2 * lost_servers.AT_ONCE_S)
     crashes = [r for r in reports_in(told)[1] if hasattr(r, "prompts")]
     assert crashes == []
 
@@ -246,7 +246,7 @@
     ]
     play.daemon.handle(events.ServersRead(tuple(left)))
     play.daemon.tick(0.1)
-    _, [report] = reports_in(play.daemon.tick(2 * crash_handlers.AT_ONCE_S))
+    _, [report] = reports_in(play.daemon.tick(2 * lost_servers.AT_ONCE_S))
     assert report.prompts == (frozenset(["base", "bad"]),)
 
 
@@ -282,7 +282,7 @@
     assert reports_in(play.daemon.tick(0.1)) == ([], [])
     play.restart_engines()
     play.daemon.tick(0.1)
-    _, [report] = reports_in(play.daemon.tick(2 * crash_handlers.AT_ONCE_S))
+    _, [report] = reports_in(play.daemon.tick(2 * lost_servers.AT_ONCE_S))
     assert report.prompts == (frozenset(["a"]),)
 
 
--- a/packages/decisions/bilberryridge/decisions/ingress/tests/test_crashing_requests.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/tests/test_crashing_requests.py
@@ -9,6 +9,7 @@
     crashing_requests,
     effects,
     events,
+    lost_servers,
 )
 from bilberryridge.decisions.ingress.tests import deployment
 
@@ -40,7 +41,7 @@
             if server.record.id != record.id
         ]
         self.daemon.handle(events.ServersRead(tuple(rows)))
-        return told + self.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+        return told + self.daemon.tick(2 * lost_servers.AT_ONCE_S)
 
     def tell(self, *servers, content_id="bad"):
         for server in servers:
@@ -72,7 +73,7 @@
     [again] = play.daemon.end(sent, "lost", **LOST)
     assert again.server.id != sent.server.id
     play.daemon.end(again, "lost", **LOST)
-    play.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+    play.daemon.tick(2 * lost_servers.AT_ONCE_S)
     play.crash(play.send("bad"))
     assert isinstance(play.send("bad"), effects.Refuse)
 
@@ -128,7 +129,7 @@
     assert len({effect.server.id for effect in sent}) == N_SERVERS
     for effect in sent:
         play.daemon.end(effect, "lost", **LOST)
-    _, told = reports_in(play.daemon.tick(2 * crash_handlers.AT_ONCE_S))
+    _, told = reports_in(play.daemon.tick(2 * lost_servers.AT_ONCE_S))
     assert {report.contents for report in told} == {("bad",)}
 
 
@@ -140,7 +141,7 @@
     play.daemon.now_s += 0.01
     said = events.ServerSaid(other.request_id, other.attempt_id)
     play.daemon.handle(said)
-    told = play.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+    told = play.daemon.tick(2 * lost_servers.AT_ONCE_S)
     assert reports_in(told) == ([], [])
 
 
@@ -180,7 +181,7 @@
     play.daemon.handle(events.ServersRead(tuple(servers)))
     for _ in range(3):
         play.daemon.end(play.send("bad"), "lost", **LOST)
-        play.daemon.tick(2 * crash_handlers.AT_ONCE_S)
+        play.daemon.tick(2 * lost_servers.AT_ONCE_S)
         play.daemon.now_s += crash_handlers.REFUTED_AFTER_S
         other = play.send("other")
         said = events.ServerSaid(other.request_id, other.attempt_id)
