--- a/packages/decisions/bilberryridge/decisions/ingress/lost_servers.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/lost_servers.py
@@ -20,7 +20,7 @@
 MAX_SERVERS_AT_ONCE = 2
 """Servers lost at once beyond which their crashes aren't reported one by one."""
 MIN_SERVERS_AT_ONCE = 2
-"""Of so many servers lost at once, those that had the same request are reported."""
+"""Of many servers lost at once, only what so many of them had is reported."""
 REACH_KNOWN_S = 0.6
 """Time, besides two load reports, in which daemons probe a server for one that has lost
 its path: 0.5 s may pass between two probes."""
