--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -127,11 +127,16 @@
         if changes:
             self.record(f"replica {self.id} writes {changes}")
 
-    def leave(self):
-        """End: the entry is removed and nothing listens any more."""
+    def remove_entry(self):
+        """Remove the entry; the replica goes on serving."""
         with self._lock:
             self._is_closed.set()
             self._deployment.store.remove(f"servers/{self.id}")
+        self.record(f"the entry of replica {self.id} is removed")
+
+    def leave(self):
+        """End: the entry is removed and nothing listens any more."""
+        self.remove_entry()
         self._listener.close()
         self.record(f"replica {self.id} has left")
 
