--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -15,6 +15,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path[:0] = [
@@ -56,6 +57,15 @@
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
+def run(main):
+    """Return what a case returns, or `NOT_RUN` if it ends by an error."""
+    try:
+        return main()
+    except Exception:
+        traceback.print_exc()
+        return NOT_RUN
+
+
 def has_trouble():
     return os.environ.get("TROUBLE", "1") != "0"
 
