--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,6 +5,7 @@
 
 import collections
 import contextlib
+import os
 import pathlib
 import selectors
 import socket
@@ -17,6 +18,7 @@
 
 import deployment  # noqa: E402
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONTACT_S, DRAIN_S = 5.0, 3.0
 CUTS_S = (-0.8, 1.0, 2.8)
 """When the watches that wait are cut, from the removal of the entry."""
@@ -135,7 +137,7 @@
 
         threading.Thread(target=send_all, daemon=True).start()
         removed_s = time.monotonic() + 2.0
-        cuts_s = CUTS_S if deployment.has_trouble() else ()
+        cuts_s = CUTS_S if HAS_TROUBLE else ()
         actions = [(removed_s + at_s, proxy.cut_watches) for at_s in cuts_s]
         # It never reports `draining`, and goes on serving.
         actions.append((removed_s, replicas[0].remove_entry))
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -66,10 +66,6 @@
         return NOT_RUN
 
 
-def has_trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Writes what was sent, answered and run to a file, with the time."""
 
