--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -223,10 +223,12 @@
         self.store.put("op/config", json.dumps(document).encode())
         return time.monotonic()
 
-    def add_backend(self, server_id, service, zone, **changes):
+    def add_backend(
+        self, server_id, service, zone, make=backend_stand_in.Backend, **changes
+    ):
         """Start a backend server and let it register itself."""
         number = len(self.backends) + 1
-        backend = backend_stand_in.Backend(f"127.{self.subnet}.2.{number}", server_id)
+        backend = make(f"127.{self.subnet}.2.{number}", server_id)
         self._stack.callback(backend.close)
         self.backends[server_id] = backend
         row = {
