--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -110,11 +110,22 @@
 """Time after which a watch without an answer is one that waits."""
 
 
+KEEPALIVE_S = 2.5
+"""Time after which the daemons' keep-alive shows a silent connection."""
+
+
+def _end_silent(conn, onward):
+    for sock in (conn, onward):
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
+
 class Path:
     """A TCP proxy: the way from one machine to an address.
 
-    It can be cut with resets; and a watch of the store that is waiting can be cut, by
-    closing the connection that it waits on, while everything else goes on.
+    It can be cut with resets; a watch of the store that is waiting can be cut, by
+    closing the connection that it waits on; and the connection of the next watch can go
+    silent, while everything else goes on.
     """
 
     def __init__(self, host, target):
@@ -123,6 +134,9 @@
         self._is_cut = False
         self._conns = set()
         self._waiting = {}
+        self._silent = set()
+        self._is_next_silent = False
+        self.silent_since_s = None
         self._lock = threading.Lock()
         self._sock = socket.create_server((host, 0), backlog=128)
         self.address = f"{host}:{self._sock.getsockname()[1]}"
@@ -153,6 +167,21 @@
             time.sleep(0.01)
         return False
 
+    def silence_next_watch(self, within_s=10.0):
+        """Let the connection of the next watch go silent for good, without a reset.
+
+        The daemon's keep-alive would show that after 2.5 s (its `TCP_USER_TIMEOUT`); as
+        this proxy's kernel answers it, the connection is reset then.
+        """
+        self.silent_since_s = None
+        self._is_next_silent = True
+        end_s = time.monotonic() + within_s
+        while self.silent_since_s is None:
+            if time.monotonic() > end_s:
+                raise CannotRunError("no watch came")
+            time.sleep(0.005)
+        return self.silent_since_s
+
     def heal(self):
         """Let new connections through again."""
         self._is_cut = False
@@ -192,9 +221,16 @@
                 with self._lock:
                     if source is pair[0] and data.startswith(WATCH):
                         self._waiting[pair] = time.monotonic()
+                        if self._is_next_silent:
+                            self._is_next_silent = False
+                            self._silent.add(pair)
+                            self.silent_since_s = time.monotonic()
+                            threading.Timer(KEEPALIVE_S, _end_silent, pair).start()
                     else:
                         self._waiting.pop(pair, None)
-                sink.sendall(data)
+                    is_silent = pair in self._silent
+                if not is_silent:
+                    sink.sendall(data)
         for sock in (source, sink):
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
