--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -398,6 +398,8 @@
     def note(text):
         lines.append(f"{time.monotonic() - began_s:8.3f} s  {text}")
 
+    # A case that is ended ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     status = 2
     try:
         with contextlib.ExitStack() as stack:
