--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -114,7 +114,7 @@
             platform.decoder.entry_prefix + local_entry.name,
             platform.decoder.encode_entry(local_entry),
             eras,
-            self._is_following,
+            lambda: not self._was_covered,
             self._follower.record_contact,
         )
         self._records = lasting_records.LastingRecords(
--- a/packages/standins/bilberryridge/standins/kv_model.py
+++ b/packages/standins/bilberryridge/standins/kv_model.py
@@ -20,6 +20,10 @@
     """The changes after that revision were compacted."""
 
 
+class WatchCutError(Exception):
+    """The connection of a waiting watch was cut."""
+
+
 @attrs.define
 class Entry:
     """A key's state; `value` is None in the record of a deletion."""
@@ -70,6 +74,7 @@
         self._revision = 1
         self._leases: dict[int, Lease] = {}
         self._n_leases = 0
+        self._n_cuts = 0
 
     @property
     def revision(self) -> int:
@@ -107,10 +112,13 @@
         Raises
         ------
         HistoryLostError
+        WatchCutError
         """
-        end_s = time.monotonic() + wait_s
+        end_s, n_cuts = time.monotonic() + wait_s, self._n_cuts
         while True:
             with self._lock_after_expiry():
+                if self._n_cuts > n_cuts:
+                    raise WatchCutError
                 if not self._oldest <= after <= self._revision:
                     raise HistoryLostError
                 matches = [entry for entry in self._history if entry.revision > after]
@@ -119,6 +127,12 @@
                     return matches, self._revision
                 self._condition.wait(min(left_s, 0.1))
 
+    def cut_watches(self) -> None:
+        """Cut the watches that wait."""
+        with self._condition:
+            self._n_cuts += 1
+            self._condition.notify_all()
+
     def compact_history(self) -> None:
         """Discard the history of changes so far."""
         with self._condition:
--- a/packages/store/bilberryridge/store/follower.py
+++ b/packages/store/bilberryridge/store/follower.py
@@ -16,7 +16,8 @@
 silent connection is noticed after this time and the margin of the call, within the 5 s
 in which a daemon must be in contact with the store again."""
 CHECK_WAIT_S = 0.001
-"""Long-poll time-out of a check: the shortest, as it is answered at once."""
+"""Long-poll time-out of a check: the shortest, as it is answered at once. The call
+after a failure is a check as well, as a watch would wait for the next change."""
 COALESCING_PAUSE_S = 0.2
 """Pause after a watch that returned changes, so that changes made close together take
 one call. The strictest bound on the delay, for leaving servers and configuration, is
@@ -24,9 +25,10 @@
 MIN_BACKOFF_S, MAX_BACKOFF_S = 0.1, 0.5
 """Wait before the next attempt: short, because the changes missed meanwhile are already
 in force."""
-UNAVAILABLE_AFTER_S = 0.6
-"""Time without an answer after which the store counts as unavailable. Its calls take
-5 ms."""
+MIN_OUTAGE_S = 1.0
+"""Shortest time without an answer that counts as an outage where a single call has
+failed. Servers write every 1.2 s, and three writes have to be missed in a row before
+an entry expires."""
 SETTLING_TIME_S = 2.5
 """After an outage servers register again within 2 s; 0.5 s allows for network delay."""
 WITHHELD_S = 6.5
@@ -97,7 +99,8 @@
     last_answer_s : float
         Monotonic time of the last successful answer, also an empty one of a watch.
     recovered_s : float
-        Monotonic time at which the last outage ended.
+        Monotonic time at which the last outage ended. A watch that was cut, though the
+        store answers all other calls, is no outage.
     is_unavailable : bool
         Whether the last call failed, or none has been answered yet.
     was_available : bool
@@ -154,6 +157,7 @@
         self._on_advanced = on_advanced
         self._is_covered = is_covered
         self._n_failures = 0
+        self._longest_gap_s = 0.0
         self._n_restarts = 0
         self._is_complete = False
         self._is_restored = False
@@ -194,8 +198,11 @@
         return self._clock.now_s() - self.health.last_answer_s
 
     def record_contact(self) -> None:
-        """Record that the store has answered another call."""
-        self.health.last_answer_s = self._clock.now_s()
+        """Record that the store has answered a call, also another one than a read."""
+        now_s = self._clock.now_s()
+        gap_s = now_s - self.health.last_answer_s
+        self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        self.health.last_answer_s = now_s
 
     @property
     def is_settled(self) -> bool:
@@ -220,7 +227,11 @@
             self._schedule(COVERED_CHECK_S)
             return
         on_watched = self._unless_restarted(self._on_watched)
-        self._reader.watch(self._mirror.revision, WATCH_TIMEOUT_S, on_watched)
+        wait_s = CHECK_WAIT_S
+        if not self.health.is_unavailable:
+            wait_s = WATCH_TIMEOUT_S
+            self._longest_gap_s = 0.0
+        self._reader.watch(self._mirror.revision, wait_s, on_watched)
 
     def _unless_restarted(self, on_answer: OnChanges) -> OnChanges:
         """Return a callback that drops an answer from before a restart."""
@@ -313,22 +324,33 @@
             self._restart()
             return
         self._n_failures += 1
+        detail = {"detail": failure.detail}
         if not self.health.is_unavailable:
             self.health.is_unavailable = True
-            LOGGER.info("the store is away", extra={"detail": failure.detail})
+            LOGGER.info("a call to the store failed", extra=detail)
+            # Soon, as the store may only have cut a watch.
+            self._schedule(self._random_state.uniform(0.0, MIN_BACKOFF_S))
+            return
+        if self._n_failures == 2:
+            LOGGER.info("the store is away", extra=detail)
         self._schedule(self._random_state.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S))
 
     def _record_answer(self) -> None:
         health = self.health
-        health.last_answer_s = self._clock.now_s()
+        self.record_contact()
         if not health.is_unavailable:
             return
-        health.is_unavailable = False
-        if health.was_available:
+        is_first = not health.was_available
+        health.is_unavailable, health.was_available = False, True
+        log_fields: dict[str, object] = {"failures": self._n_failures}
+        if not is_first:
             # At the first contact no entry was known that can have expired.
-            self._settle()
-        health.was_available = True
-        LOGGER.info("the store answers", extra={"failures": self._n_failures})
+            is_outage = self._n_failures > 1 or self._longest_gap_s >= MIN_OUTAGE_S
+            unanswered_s = round(self._longest_gap_s, 3)
+            log_fields |= {"unanswered_s": unanswered_s, "is_outage": is_outage}
+            if is_outage:
+                self._settle()
+        LOGGER.info("the store answers", extra=log_fields)
         self._n_failures = 0
 
     def _settle(self) -> None:
--- a/packages/store/bilberryridge/store/registration.py
+++ b/packages/store/bilberryridge/store/registration.py
@@ -13,8 +13,8 @@
 RENEWAL_INTERVAL_S = 1.8
 """Interval of renewals: two of them may be lost before the lease expires."""
 FOLLOWING_RENEWAL_INTERVAL_S = 0.6
-"""Interval of a daemon that follows the store for others: its renewals show them that
-it still reaches the store while its watch waits."""
+"""Interval of a daemon that follows the store itself: its renewals show that the store
+answers while a watch waits, which tells a watch that was cut from an outage."""
 MIN_REGISTERED_S = 0.8
 """Time after which an entry that was written is visible here."""
 RETRY_DELAY_S = 0.5
@@ -54,7 +54,7 @@
         Encoded entry.
     eras : EraMonitor
     is_following : Callable
-        Returns whether this daemon follows the store for others.
+        Returns whether this daemon follows the store itself.
     on_contact : Callable
         Called when the store has answered.
     """
