--- a/packages/daemon/bilberryridge/daemon/store_following.py
+++ b/packages/daemon/bilberryridge/daemon/store_following.py
@@ -103,7 +103,7 @@
             loop,
             random_state,
             eras,
-            self._on_settled,
+            self._post_settled_lists,
             self._on_store_restored,
             self._hand_on,
             self._is_covered,
@@ -145,7 +145,7 @@
             revocation_bound_s,
         )
         self._last_reports: events.CrashReportsRead | None = None
-        self._was_settled = False
+        self._are_lists_settled = False
         self._was_covered = False
         self._last_contact: events.StoreContact | None = None
         self._known_s = float("-inf")
@@ -212,18 +212,20 @@
             if table is not None:
                 self._post(events.TableRead(table))
             self._proving.on_changed()
-            self._on_settled()
+            self._post_lists()
         streams = decoder.streams(store_copy, stream_keys)
         if streams:
             self._post(events.StreamsRead(streams))
 
-    def _on_settled(self) -> None:
+    def _post_lists(self) -> None:
         decoder, store_copy = self._decoder, self._store_copy
         is_settled = self._is_settled()
+        self._are_lists_settled = is_settled
         evacuated = decoder.evacuated(store_copy)
         self._post(events.EvacuationsRead(evacuated, is_settled))
         servers = decoder.servers(store_copy)
-        self._post(events.ServersRead(servers, is_settled))
+        known_s = self._store_known_s()
+        self._post(events.ServersRead(servers, is_settled, known_s))
         entries = decoder.entries(store_copy)
         self._post(events.EntriesRead(entries, is_settled))
         self._on_reports(events.CrashReportsRead(decoder.stored_reports(store_copy)))
@@ -248,7 +250,14 @@
             self._loop.now_s()
         )
 
+    def _post_settled_lists(self) -> None:
+        """Post the lists again if what is missing there counts as removed by now."""
+        if not self._are_lists_settled and self._is_settled():
+            self._post_lists()
+
     def _check_contact(self) -> None:
+        # By time, as no message tells that another daemon's report has run out.
+        self._post_settled_lists()
         peer_report_age_s = self._loop.now_s() - self._peer_settled_at_s
         is_current = (
             not self._follower.health.is_unavailable
@@ -336,10 +345,7 @@
         store_copy = self._store_copy
         if vm in self._watchers.ahead(store_copy.era, store_copy.revision, now_s):
             self._ask_for_changes(vm)
-        is_settled = self._is_settled()
-        if is_settled and not self._was_settled:
-            self._on_settled()
-        self._was_settled = is_settled
+        self._post_settled_lists()
 
     def _send_changes(self, vm: str, request: link_codec.ChangesRequest) -> None:
         era = request.era or 0
--- a/packages/decisions/bilberryridge/decisions/ingress/events.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/events.py
@@ -41,10 +41,13 @@
     servers : tuple of BackendServer
     is_settled : bool
         False while a missing registration may only have lapsed during a store outage.
+    known_s : float
+        See `StoreContact`.
     """
 
     servers: tuple[ingress.BackendServer, ...]
     is_settled: bool = True
+    known_s: float = math.inf
 
 
 @attrs.frozen
--- a/packages/decisions/bilberryridge/decisions/ingress/node.py
+++ b/packages/decisions/bilberryridge/decisions/ingress/node.py
@@ -79,7 +79,7 @@
     for change in st.servers.update(event, st.table, now_s):
         st.emit(effects.LogStateChange("server", change))
     if event.is_settled:
-        server_starts.confirm(st, now_s, now_s)
+        server_starts.confirm(st, min(event.known_s, now_s), now_s)
     for server in st.servers.take_new():
         slow_start_handlers.on_returned(st, server, "start", now_s)
 
--- a/packages/decisions/bilberryridge/decisions/store_watchers.py
+++ b/packages/decisions/bilberryridge/decisions/store_watchers.py
@@ -18,6 +18,12 @@
 """Longest time since the store's last answer to the following daemon, as known here. A
 leaving server must get no work 3 s after the store knows; the own call and a pause of
 0.2 s come after this time."""
+SETTLING_TIME_S = 2.5
+"""How long a daemon's report that the store is not settled holds, from the first on.
+Servers register again within 2 s after an outage."""
+MAX_REPORT_GAP_S = 1.0
+"""A report that comes this long after the one before may be about another outage. Two
+reports in a row are missing then."""
 
 
 @attrs.frozen
@@ -45,6 +51,14 @@
     received_s: float
 
 
+@attrs.frozen
+class _Settling:
+    """A row of reports that the store is not settled."""
+
+    began_s: float
+    reported_s: float
+
+
 class StoreWatchers:
     """The positions that other daemons of the failure domain have reported.
 
@@ -57,14 +71,25 @@
     def __init__(self, local_entry: ingress.EntryVm):
         self._local_entry = local_entry
         self._reports: dict[str, _Report] = {}
+        self._settling: dict[str, _Settling] = {}
         self._ranked: tuple[list[str], bool] = ([], True)
 
     def record(self, vm: str, position: StorePosition, now_s: float) -> None:
         """Store the position that another daemon reported."""
         self._reports[vm] = _Report(position, now_s)
+        settling = self._settling.pop(vm, None)
+        self._forget_settled(now_s)
+        if position.is_settled:
+            return
+        if settling is None or now_s - settling.reported_s > MAX_REPORT_GAP_S:
+            settling = _Settling(now_s, now_s)
+        self._settling[vm] = attrs.evolve(settling, reported_s=now_s)
 
     def remove(self, vm: str) -> None:
-        """Forget a daemon whose link closed."""
+        """Forget the position of a daemon whose link closed.
+
+        What it said of an outage still holds.
+        """
         self._reports.pop(vm, None)
 
     def is_first(self, linked: list[ingress.EntryVm]) -> bool:
@@ -128,8 +153,19 @@
         ]
 
     def is_settled(self, now_s: float) -> bool:
-        """Return whether all daemons that follow the store report it as settled."""
-        return all(report.position.is_settled for report in self._recent(now_s))
+        """Return whether no daemon's report of an outage holds any more.
+
+        A daemon that reported one may fall silent before the store has settled.
+        """
+        return all(
+            now_s - settling.began_s >= SETTLING_TIME_S
+            for settling in self._settling.values()
+        )
+
+    def _forget_settled(self, now_s: float) -> None:
+        for vm, settling in list(self._settling.items()):
+            if now_s - settling.reported_s > SETTLING_TIME_S:
+                del self._settling[vm]
 
     def _recent(self, now_s: float) -> list[_Report]:
         return [
