--- a/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 
 import pytest
@@ -163,3 +164,45 @@
             assert sink.is_complete
         pool.close()
     assert conns[0] is conns[1]
+
+
+def reset(sock):
+    """Close a connection by a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def run_until(loop, condition):
+    end_s = loop.now_s() + 2.0
+    while not condition():
+        assert loop.now_s() < end_s
+        loop.run_once()
+
+
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 8\r\n"])
+def test_issue_61_reset_is_no_end_after_another_connection_was_made(framing):
+    # The check of the other connections took the error, and the next read found an end.
+    sink = Sink()
+    with (
+        event_loop.open_loop() as loop,
+        socket.create_server(("127.0.0.1", 0)) as listener,
+    ):
+        pool = connection_pool.Pool(loop)
+        address = listener.getsockname()
+        pool.send_request(address, "GET", "/", (("Host", "h"),), b"", sink)
+        sock, _ = listener.accept()
+        loop.run_once()
+        sock.recv(65_536)
+        sock.sendall(HEAD + framing + b"\r\npart")
+        run_until(loop, lambda: sink.pieces)
+        # A turn without a part of the answer; else its connection would be first.
+        turns = []
+        loop.after(0.01, lambda: turns.append(1))
+        run_until(loop, lambda: turns)
+        probed = []
+        pool.probe(address, probed.append)
+        reset(sock)
+        run_until(loop, lambda: probed and (sink.failure or sink.is_complete))
+        pool.close()
+    assert sink.failure is upstream.Failure.LOST
+    assert not sink.is_complete
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -153,6 +153,7 @@
         self._is_skipping = False
         self._is_end_marked = True
         self._is_parsing_later = False
+        self._error: OSError | None = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._connect_timer = loop.after(CONNECT_TIMEOUT_S, self._on_connect_timeout)
         self._on_probed: Callable[[bool], None] | None = None
@@ -225,8 +226,9 @@
             self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
-        except OSError:
-            return True
+        except OSError as exc:
+            # A socket tells an error once; the next read finds an end in order.
+            self._error = exc
         return True
 
     def close(self) -> None:
@@ -326,6 +328,8 @@
 
     def _read(self) -> None:
         try:
+            if self._error is not None:
+                raise self._error
             data = self._sock.recv(READ_BYTES)
         except BlockingIOError:
             return
