--- a/packages/transport/bilberryridge/transport/ingress/connection_pool.py
+++ b/packages/transport/bilberryridge/transport/ingress/connection_pool.py
@@ -11,6 +11,9 @@
 """Longest idle time of a connection for a request that must not be repeated."""
 MIN_RESTART_S = 1.0
 """Time that a server takes at least to end and start again."""
+PROCESS_END_S = 0.05
+"""Time within which the kernel closes all sockets of a process that ends; the port may
+be the last."""
 MAX_IDLE_PER_ADDRESS = 16
 """Except in extreme peaks, a daemon has fewer concurrent requests at one server."""
 
@@ -69,6 +72,26 @@
         """Open a connection; report whether that succeeded, and keep it."""
         self._open_new(address).probe(on_ended)
 
+    def check_process(
+        self, conn: upstream.Connection, on_checked: Callable[[bool], None]
+    ) -> None:
+        """Report whether the process that has ended a connection may still run.
+
+        It doesn't if a new connection is refused, as its port is closed, and no other
+        one lasts. A path on which new connections fail otherwise tells nothing.
+        """
+
+        def probe() -> None:
+            probing = self._open_new(conn.address)
+            probing.probe(lambda is_connected: on_probed(probing, is_connected))
+
+        def on_probed(probing: upstream.Connection, is_connected: bool) -> None:
+            others = self._established.get(conn.address, set()) - {conn}
+            has_lasting = any(not other.has_ended() for other in others)
+            on_checked(is_connected or not probing.is_refused or has_lasting)
+
+        self._loop.after(PROCESS_END_S, probe)
+
     def on_idle(self, conn: upstream.Connection) -> None:
         """Keep a connection for the next request."""
         idle_conns = self._idle.setdefault(conn.address, [])
--- a/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/tests/test_upstream.py
@@ -206,3 +206,70 @@
         pool.close()
     assert sink.failure is upstream.Failure.LOST
     assert not sink.is_complete
+
+
+@contextlib.contextmanager
+def open_unframed_answer(body=b""):
+    """Yield loop, pool, listener, the server's socket and the sink of its answer."""
+    sink = Sink()
+    with (
+        event_loop.open_loop() as loop,
+        socket.create_server(("127.0.0.1", 0)) as listener,
+    ):
+        pool = connection_pool.Pool(loop)
+        fields = (("Host", "h"), ("Content-Length", str(len(body))))
+        address = listener.getsockname()
+        pool.send_request(address, "POST", "/", fields, body, sink)
+        sock, _ = listener.accept()
+        with sock:
+            loop.run_once()
+            sock.sendall(HEAD + b"\r\npart")
+            run_until(loop, lambda: sink.pieces)
+            yield loop, pool, listener, sock, sink
+        pool.close()
+
+
+def wait_for_end(loop, sink):
+    run_until(loop, lambda: sink.failure or sink.is_complete)
+
+
+def test_issue_61_answer_that_ends_with_its_server_is_lost():
+    with open_unframed_answer() as (loop, _, listener, sock, sink):
+        # Unread bytes would make its end a reset.
+        sock.recv(65_536)
+        listener.close()
+        sock.close()
+        wait_for_end(loop, sink)
+    assert sink.failure is upstream.Failure.LOST
+
+
+def test_answer_that_ends_before_its_server_is_complete():
+    with open_unframed_answer() as (loop, _, _, sock, sink):
+        sock.recv(65_536)
+        sock.close()
+        wait_for_end(loop, sink)
+    assert sink.is_complete
+
+
+def test_answer_is_complete_where_only_new_connections_are_refused():
+    with open_unframed_answer() as (loop, pool, listener, sock, sink):
+        probed = []
+        pool.probe(listener.getsockname(), probed.append)
+        run_until(loop, lambda: probed)
+        other, _ = listener.accept()
+        with other:
+            listener.close()
+            sock.recv(65_536)
+            sock.close()
+            wait_for_end(loop, sink)
+    assert sink.is_complete
+
+
+def test_issue_61_answer_is_lost_where_a_reset_follows_the_end():
+    with open_unframed_answer(b"b" * (16 << 20)) as (loop, _, _, sock, sink):
+        # The end comes first, and the rest of the body is answered by a reset.
+        sock.shutdown(socket.SHUT_WR)
+        loop.run_once()
+        reset(sock)
+        wait_for_end(loop, sink)
+    assert sink.failure is upstream.Failure.LOST
--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -111,6 +111,11 @@
     def on_closed(self, conn: "Connection") -> None:
         """Remove a connection; its socket is closed afterwards."""
 
+    def check_process(
+        self, conn: "Connection", on_checked: Callable[[bool], None]
+    ) -> None:
+        """Report whether the process that has ended a connection may still run."""
+
 
 class Connection:
     """One connection; sends one request at a time.
@@ -135,6 +140,7 @@
         self.is_closed = False
         self.is_established = False
         self.is_ended_in_order = False
+        self.is_refused = False
         self._loop = loop
         self._owner = owner
         self._http = h11.Connection(h11.CLIENT)
@@ -154,6 +160,7 @@
         self._is_end_marked = True
         self._is_parsing_later = False
         self._error: OSError | None = None
+        self._is_end_checked = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._connect_timer = loop.after(CONNECT_TIMEOUT_S, self._on_connect_timeout)
         self._on_probed: Callable[[bool], None] | None = None
@@ -217,19 +224,29 @@
 
     def resume(self) -> None:
         """Resume reading."""
+        if self._is_end_checked:
+            return
         self._is_paused = False
         self._watch()
 
     def is_stale(self) -> bool:
         """Return whether the peer has closed it or sent data without a request."""
+        return self._peek() is not None
+
+    def has_ended(self) -> bool:
+        """Return whether the peer has closed it."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """Return a byte that can be read, empty at the end; None if there is none."""
         try:
-            self._sock.recv(1, socket.MSG_PEEK)
+            return self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError as exc:
             # A socket tells an error once; the next read finds an end in order.
             self._error = exc
-        return True
+            return b""
 
     def close(self) -> None:
         """Close the socket."""
@@ -275,6 +292,7 @@
             pass
         except OSError as exc:
             detail = str(exc)
+            self.is_refused = exc.errno == errno.ECONNREFUSED
             self._loop.after(0.0, lambda: self._fail(Failure.NOT_SENT, detail))
 
     def _on_connect_timeout(self) -> None:
@@ -284,6 +302,7 @@
     def _on_connected(self) -> None:
         error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
+            self.is_refused = error == errno.ECONNREFUSED
             self._fail(Failure.NOT_SENT, f"connect failed with errno {error}")
             return
         self._connect_timer.cancel()
@@ -351,7 +370,8 @@
 
     def _handle_events(self) -> None:
         for _ in range(MAX_EVENTS_PER_TURN):
-            if self._sink is None or self.is_closed or not self._handle_next():
+            is_over = self._sink is None or self.is_closed or self._is_end_checked
+            if is_over or not self._handle_next():
                 return
         if self._sink is not None and not self.is_closed:
             self._is_parsing_later = True
@@ -434,6 +454,12 @@
         if self._is_skipping:
             self._skip_answer()
             return
+        if not self._is_end_marked and not self._is_end_checked:
+            # The connections of a process that is killed end in order as well.
+            self.pause()
+            self._is_end_checked = True
+            self._owner.check_process(self, self._on_process_checked)
+            return
         sink, self._sink = self._sink, None
         assert sink is not None
         is_reusable = (
@@ -453,6 +479,18 @@
             self.close()
         sink.on_end(self._is_end_marked)
 
+    def _on_process_checked(self, may_run: bool) -> None:
+        if self.is_closed or self._sink is None:
+            return
+        error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error or self._error is not None:
+            # It follows the end of a server that hasn't read the whole request.
+            self._fail(Failure.LOST, "reset after the end of the answer")
+        elif not may_run:
+            self._fail(Failure.LOST, "the answer ended with its server")
+        else:
+            self._handle_end()
+
     def _skip_answer(self) -> None:
         """Continue with the next answer: the last belonged to another request."""
         if self._http.their_state is not h11.DONE:
