--- a/packages/soak/bilberryridge/soak/proxies.py
+++ b/packages/soak/bilberryridge/soak/proxies.py
@@ -74,24 +74,34 @@
     def _pump(
         self, source: socket.socket, sink: socket.socket, is_answer: bool
     ) -> None:
+        has_ended = False
         with contextlib.suppress(OSError):
-            while not self._is_closed:
-                source.settimeout(0.2)
-                try:
-                    data = source.recv(READ_BYTES)
-                except TimeoutError:
-                    if self.mode is Mode.RESET:
-                        break
-                    continue
-                if not self._may_forward(is_answer) or not data:
-                    break
-                sink.sendall(data)
-        if self.mode is Mode.RESET:
+            has_ended = self._forward(source, sink, is_answer)
+            if has_ended:
+                sink.shutdown(socket.SHUT_WR)
+        if not has_ended:
+            # An end in order would tell the other side that nothing is missing.
             _reset(source)
             _reset(sink)
-            return
-        with contextlib.suppress(OSError):
-            sink.shutdown(socket.SHUT_WR)
+
+    def _forward(
+        self, source: socket.socket, sink: socket.socket, is_answer: bool
+    ) -> bool:
+        """Forward bytes; return whether the source has ended in order."""
+        source.settimeout(0.2)
+        while not self._is_closed:
+            try:
+                data = source.recv(READ_BYTES)
+            except TimeoutError:
+                if self.mode is Mode.RESET:
+                    return False
+                continue
+            if not self._may_forward(is_answer):
+                return False
+            if not data:
+                return True
+            sink.sendall(data)
+        return False
 
     def _may_forward(self, is_answer: bool) -> bool:
         """Wait while the mode blocks this direction; False to end the connection."""
