--- a/packages/transport/bilberryridge/transport/ingress/upstream.py
+++ b/packages/transport/bilberryridge/transport/ingress/upstream.py
@@ -9,11 +9,14 @@
 RFC 9112, HTTP/1.1.
 """
 
+import array
 import collections
 import enum
 import errno
+import fcntl
 import selectors
 import socket
+import termios
 from collections.abc import Callable
 from typing import Protocol
 
@@ -43,6 +46,9 @@
 N_CARRIED = 100
 """Requests of a connection whose ids are remembered; a second attempt follows soon."""
 MAX_INFORMATIONAL_ANSWERS = 10
+UPLOAD_CHECK_S = 0.02
+"""Interval of the question whether the rest of an upload was taken, of which no event
+tells."""
 MAX_EVENTS_PER_TURN = 100
 """Parts of an answer that are handled before other connections have their turn; one
 takes some 20 us."""
@@ -488,9 +494,21 @@
             self._fail(Failure.LOST, "reset after the end of the answer")
         elif not may_run:
             self._fail(Failure.LOST, "the answer ended with its server")
+        elif self._outgoing or self._n_unacknowledged() > 0:
+            # The server goes on to read the request, or resets the connection.
+            self._loop.after(UPLOAD_CHECK_S, lambda: self._on_process_checked(True))
         else:
             self._handle_end()
 
+    def _n_unacknowledged(self) -> int:
+        """Return how many bytes the peer's system hasn't acknowledged."""
+        n_bytes = array.array("i", [0])
+        try:
+            fcntl.ioctl(self._sock, termios.TIOCOUTQ, n_bytes)
+        except OSError:
+            return 0
+        return n_bytes[0]
+
     def _skip_answer(self) -> None:
         """Continue with the next answer: the last belonged to another request."""
         if self._http.their_state is not h11.DONE:
