--- a/packages/transport/bilberryridge/transport/ingress/gateway.py
+++ b/packages/transport/bilberryridge/transport/ingress/gateway.py
@@ -233,8 +233,14 @@
             self._counters.count("ingress_silent_attempts")
             self._log("attempt silent", event.request_id, {"attempt": event.attempt_id})
         now_s, boot_s = self._loop.now_s(), self._loop.boot_s()
+        cancelled = []
         for effect in self.node.handle(now_s, event, boot_s):
             self._effect_handlers[type(effect)](effect)
+            if isinstance(effect, effects.CancelAttempt):
+                cancelled.append(effect.request_id)
+        # A request without a caller ends with its attempt and gets no answer.
+        for request_id in cancelled:
+            self._close_if_finished(request_id)
         if isinstance(event, events.AttemptEnded | events.CallerGone):
             self._close_if_finished(event.request_id)
 
