--- a/packages/transport/bilberryridge/transport/connection.py
+++ b/packages/transport/bilberryridge/transport/connection.py
@@ -252,10 +252,13 @@
         elif self._is_body_unread:
             self._discard()
             return
-        elif len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES:
+        elif self.phase is Phase.ANSWERING and self._is_pipelining_too_much():
             self._on_end_of_input()
         self._advance()
 
+    def _is_pipelining_too_much(self) -> bool:
+        return len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES
+
     def _on_end_of_input(self) -> None:
         if self.phase is Phase.ANSWERING and not self._is_answer_finished:
             self._owner.on_caller_gone(self)
