--- a/review/common-4/replica.py
+++ b/review/common-4/replica.py
@@ -19,23 +19,32 @@
         Time until the first byte of an answer.
     n_events, event_gap_s
         Of streams: requests with `Token-Counts`.
-    is_ready : Callable
-        Asked before each read of a body; while False, the replica doesn't read.
+    mark : str
+        Written in each event.
     """
 
     def __init__(
-        self, host, server_id, work_s=0.0225, n_events=6, event_gap_s=0.05, body=b"ok"
+        self,
+        host,
+        server_id,
+        work_s=0.0225,
+        n_events=6,
+        event_gap_s=0.05,
+        body=b"ok",
+        port=0,
+        mark="",
     ):
         self.id = server_id
         self.work_s = work_s
         self.n_events = n_events
         self.event_gap_s = event_gap_s
         self.body = body
+        self.mark = mark
         self.runs = []
         """(monotonic time, attempt id, head fields) of each run."""
         self.channels = set()
         self._lock = threading.Lock()
-        self.sock = socket.create_server((host, 0), backlog=512)
+        self.sock = socket.create_server((host, port), backlog=512)
         self.address = f"{host}:{self.sock.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -116,7 +125,7 @@
         conn.sendall("\r\n".join([*rows, "", ""]).encode())
         first = int(fields.get("last-event-id") or 0) + 1
         for number in range(first, self.n_events + 1):
-            event = f"id: {number}\ndata: {json.dumps({'n': number})}\n\n".encode()
+            event = f"id: {number}\ndata: {json.dumps({'n': number, 'by': self.mark})}\n\n".encode()
             conn.sendall(b"%x\r\n%b\r\n" % (len(event), event))
             time.sleep(self.event_gap_s)
         conn.sendall(b"0\r\n\r\n")
