--- a/review/common-4/record.py
+++ b/review/common-4/record.py
@@ -1,6 +1,7 @@
 """The record of a run, and the way a case ends."""
 
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -29,6 +30,8 @@
 
     `play` takes the deployment and the record; it returns whether the rule was broken.
     """
+    # Ends the processes that the case has started also where it is stopped itself.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(pathlib.Path(script).with_name("record.txt"))
     try:
         with tempfile.TemporaryDirectory() as folder:
