--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 python3 -m compileall -q review/common-4 packages platform/tests/store_stand_in.py
 PYTHONPATH="target/deps:platform/tests:review/common-4:$(ls -d packages/* | tr '\n' ':')" \
-    python3 -c "import deployment, replica, store_stand_in"
+    python3 -c "import deployment, record, replica, store_stand_in"
